--- a/src/bin/chestnutlug/app.rs
+++ b/src/bin/chestnutlug/app.rs
@@ -17,6 +17,7 @@
         Some(("bench", args)) => command::bench::run(args),
         Some(("completions", args)) => completions(args),
         Some(("config", args)) => command::config::run(args),
+        Some(("coordinate", args)) => command::coordinate::run(args),
         Some(("local", args)) => command::local::run(args),
         Some(("explain", args)) => command::status::explain(args),
         Some(("jobs", args)) => command::status::jobs(args),
--- a/src/bin/chestnutlug/clap_app.rs
+++ b/src/bin/chestnutlug/clap_app.rs
@@ -4,7 +4,8 @@
 use clap_complete::Shell;
 
 use crate::{
-    clap_bench, clap_config, clap_local, clap_serve, clap_settings, clap_standin, clap_status,
+    clap_bench, clap_config, clap_coordinate, clap_local, clap_serve, clap_settings, clap_standin,
+    clap_status,
 };
 
 /// Closes the long help of the program.
@@ -27,6 +28,7 @@
         .subcommand(clap_bench::bench_command())
         .subcommand(completions())
         .subcommand(clap_config::config())
+        .subcommand(clap_coordinate::coordinate())
         .subcommand(clap_status::explain())
         .subcommand(clap_status::jobs())
         .subcommand(clap_local::local())
--- a/src/bin/chestnutlug/main.rs
+++ b/src/bin/chestnutlug/main.rs
@@ -4,6 +4,7 @@
 mod clap_app;
 mod clap_bench;
 mod clap_config;
+mod clap_coordinate;
 mod clap_local;
 mod clap_serve;
 mod clap_settings;
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod config;
+pub mod coordinate;
 pub mod local;
 mod operators;
 pub mod output;
--- /dev/null
+++ b/src/coordinator/gateway.rs
@@ -0,0 +1,321 @@
+//! Answers callers on any VM, from the owner or, where that is not reached, from the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::sync::oneshot;
+
+use super::directory::Directory;
+use super::layout::{self, Handover};
+use super::ledger::encode;
+use super::message::{Ask, OwnerHint, Told};
+use super::owner::{Event, OwnerAsk};
+use super::reader::{self, CALL_TIMEOUT};
+use super::seat::Seat;
+use crate::message::{Reply, Request};
+use crate::model::{QueueName, Time};
+use crate::node::clock::Clock;
+use crate::port::peer::SharedPeers;
+use crate::port::records::{SharedRecords, StoreCall, StoreError, StoreReply, Transaction};
+use crate::workflow::record::{WorkflowRecord, WorkflowState};
+use crate::workflow::{QueueConfig, WorkflowId, WorkflowSpec};
+
+/// How long the owner is waited for before the store is tried, as long as a call of the store takes
+/// when that is slow.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Kept of a caller's time for the way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+
+/// After a refusal the caller may come back after so long: about the time in which a lost owner is
+/// followed.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// An answer to a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The workflow is accepted and recorded.
+    Accepted,
+    /// How the workflow stands.
+    State(WorkflowState),
+    /// The workflow is cancelled or has ended otherwise.
+    Cancelled,
+    /// So many workflows of the queue have started nothing.
+    Pending(u64),
+    /// There is no such workflow.
+    NoSuchWorkflow,
+    /// The workflow was not accepted and never runs.
+    NotRun,
+    /// What became of the call cannot be known now.
+    Unknown,
+}
+
+/// Answers callers.
+pub struct Gateway {
+    records: SharedRecords,
+    peers: SharedPeers,
+    directory: Arc<Directory>,
+    seat: Arc<Seat>,
+    config: ArcSwap<Option<QueueConfig>>,
+    clock: Clock,
+}
+
+impl Gateway {
+    pub(super) fn new(
+        records: SharedRecords,
+        peers: SharedPeers,
+        directory: Arc<Directory>,
+        seat: Arc<Seat>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            records,
+            peers,
+            directory,
+            seat,
+            config: ArcSwap::from_pointee(None),
+            clock,
+        }
+    }
+
+    /// The configuration in force on this VM, if there is one yet.
+    pub fn config(&self) -> Arc<Option<QueueConfig>> {
+        self.config.load_full()
+    }
+
+    /// Puts a configuration in force; an older one than the present is passed over.
+    pub(super) fn set_config(&self, config: QueueConfig) -> bool {
+        let known = self.config();
+        let newer = known.as_ref().as_ref();
+        if newer.is_some_and(|known| known.version >= config.version) {
+            return false;
+        }
+        tracing::info!(
+            version = config.version,
+            queues = config.routes.len(),
+            "a configuration is in force"
+        );
+        self.config.store(Arc::new(Some(config)));
+        true
+    }
+
+    /// Whether callers are served: the configuration is known, and the owner or a way to the store.
+    pub fn is_ready(&self) -> bool {
+        self.config().is_some() && (self.directory.owner().is_some() || self.seat.is_owner())
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Hands a workflow in; the answer comes within `limit`.
+    pub async fn submit(&self, id: WorkflowId, spec: WorkflowSpec, limit: Duration) -> Answer {
+        let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
+        let ask = Ask::Submit {
+            id,
+            spec: spec.clone(),
+        };
+        let answer = match self.ask_owner(ask, deadline).await {
+            Some(Told::Accepted) => Answer::Accepted,
+            Some(Told::Refused) => Answer::NotRun,
+            other => {
+                tracing::info!(request = %id, owner_said = ?other, "a workflow is recorded without the owner");
+                self.hand_over(id, spec, deadline).await
+            }
+        };
+        tracing::info!(request = %id, ?answer, owner = self.owner_epoch(),
+            time_left_ms = left(deadline, self.now()).as_millis(), "a submission is answered");
+        answer
+    }
+
+    /// Writes a new workflow to the store, for the owner to find.
+    async fn hand_over(&self, id: WorkflowId, spec: WorkflowSpec, deadline: Time) -> Answer {
+        let record = WorkflowRecord::Active(spec);
+        let encoded = encode(&record);
+        let handover = encode(&Handover::Submitted(record));
+        let (Ok(encoded), Ok(handover)) = (encoded, handover) else {
+            tracing::error!(request = %id, "a workflow cannot be encoded");
+            return Answer::NotRun;
+        };
+        let transaction = Transaction {
+            expected: vec![(layout::workflow_key(id), 0)],
+            puts: vec![
+                (layout::workflow_key(id), encoded),
+                (layout::submitted_key(id), handover),
+            ],
+            removals: Vec::new(),
+        };
+        match self.commit_within(transaction, deadline).await {
+            // A workflow that has a record was accepted before.
+            Ok(_) => Answer::Accepted,
+            Err(StoreError::NotDone(reason) | StoreError::Rejected(reason)) => {
+                tracing::warn!(request = %id, reason, "a workflow is refused, as the store does not take it");
+                Answer::NotRun
+            }
+            Err(StoreError::Unknown(reason)) => {
+                tracing::warn!(request = %id, reason, "it is open whether a workflow is recorded");
+                Answer::Unknown
+            }
+        }
+    }
+
+    /// Repeats a transaction until it has a result or the time is over. Once the effect of a try is
+    /// open, a later failure does not close it.
+    async fn commit_within(
+        &self,
+        transaction: Transaction,
+        deadline: Time,
+    ) -> Result<StoreReply, StoreError> {
+        /// Before a call without a result is sent again.
+        const RETRY_PAUSE: Duration = Duration::from_millis(50);
+        let call = StoreCall::Commit(transaction);
+        let mut open = None;
+        loop {
+            let limit = left(deadline, self.now()).min(CALL_TIMEOUT);
+            let error = match self.records.call(&call, limit).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            if matches!(error, StoreError::Unknown(_)) {
+                open = Some(error.clone());
+            }
+            let rejected = matches!(error, StoreError::Rejected(_));
+            if rejected || left(deadline, self.now()) <= RETRY_PAUSE {
+                return Err(open.unwrap_or(error));
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// How a workflow stands.
+    pub async fn state(&self, id: WorkflowId, limit: Duration) -> Answer {
+        let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
+        if let Some(Told::State(Some(state))) = self.ask_owner(Ask::State(id), deadline).await {
+            return Answer::State(state);
+        }
+        match reader::read_state(&self.records, id).await {
+            Ok(Some(state)) => Answer::State(state),
+            Ok(None) => {
+                tracing::info!(request = %id, "a caller asks for a workflow that is not recorded");
+                Answer::NoSuchWorkflow
+            }
+            Err(error) => {
+                tracing::warn!(request = %id, %error, "how a workflow stands cannot be known now");
+                Answer::Unknown
+            }
+        }
+    }
+
+    /// Cancels a workflow.
+    pub async fn cancel(&self, id: WorkflowId, limit: Duration) -> Answer {
+        let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
+        let answer = match self.ask_owner(Ask::Cancel(id), deadline).await {
+            Some(Told::Cancelled) => Answer::Cancelled,
+            _ => self.cancel_in_store(id, deadline).await,
+        };
+        tracing::info!(request = %id, ?answer, owner = self.owner_epoch(), "a cancellation is answered");
+        answer
+    }
+
+    /// Writes a cancellation to the store, for the owner to find.
+    async fn cancel_in_store(&self, id: WorkflowId, deadline: Time) -> Answer {
+        match reader::read_state(&self.records, id).await {
+            Ok(Some(state)) if state.is_final() => return Answer::Cancelled,
+            Ok(Some(_)) => {}
+            Ok(None) => return Answer::NoSuchWorkflow,
+            Err(_) => return Answer::Unknown,
+        }
+        let Ok(value) = encode(&Handover::Cancelled) else {
+            return Answer::Unknown;
+        };
+        let transaction = Transaction {
+            puts: vec![(layout::cancelled_key(id), value)],
+            ..Transaction::default()
+        };
+        match self.commit_within(transaction, deadline).await {
+            Ok(_) => Answer::Cancelled,
+            Err(error) => {
+                tracing::warn!(request = %id, %error, "a cancellation is not recorded");
+                Answer::Unknown
+            }
+        }
+    }
+
+    /// How many workflows of a queue have started nothing.
+    pub async fn pending(&self, queue: &QueueName, limit: Duration) -> Answer {
+        let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
+        match self.ask_owner(Ask::Pending(queue.clone()), deadline).await {
+            Some(Told::Pending(count)) => Answer::Pending(count),
+            other => {
+                tracing::warn!(%queue, owner_said = ?other, "a queue cannot be counted now");
+                Answer::Unknown
+            }
+        }
+    }
+
+    /// Asks the owner; `None` where it cannot be reached in time.
+    async fn ask_owner(&self, ask: Ask, deadline: Time) -> Option<Told> {
+        /// A second owner is asked where the first has given up.
+        const TRIES: usize = 2;
+        for _ in 0..TRIES {
+            let limit = left(deadline, self.now()).min(OWNER_TIMEOUT);
+            if self.seat.is_owner() {
+                let told = self.seat.ask(&ask, limit).await;
+                match told {
+                    Some(Told::NotOwner(_)) | None => {}
+                    told => return told,
+                }
+            }
+            let OwnerHint { address, .. } = self.directory.owner()?;
+            if address == self.directory.own() {
+                return None;
+            }
+            let request = Request::Workflow(ask.clone());
+            match self.peers.call(address, &request, limit).await {
+                Ok(Reply::Workflow(Told::NotOwner(hint))) => {
+                    let hint = hint.filter(|hint| hint.address != address)?;
+                    self.directory.set_owner(hint);
+                }
+                Ok(Reply::Workflow(told)) => return Some(told),
+                Ok(other) => {
+                    tracing::warn!(?other, "the owner gave an unexpected reply");
+                    return None;
+                }
+                Err(error) => {
+                    tracing::debug!(%error, %address, "the owner did not answer");
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    fn owner_epoch(&self) -> u64 {
+        self.directory.owner().map_or(0, |owner| owner.epoch)
+    }
+}
+
+fn left(deadline: Time, now: Time) -> Duration {
+    deadline.since(now)
+}
+
+impl Seat {
+    /// Asks the owner on this VM; `None` where there is none or it does not answer in time.
+    pub(super) async fn ask(&self, ask: &Ask, limit: Duration) -> Option<Told> {
+        let owner = self.owner()?;
+        let ask = match ask {
+            Ask::Submit { id, spec } => OwnerAsk::Submit(*id, spec.clone()),
+            Ask::State(id) => OwnerAsk::State(*id),
+            Ask::Cancel(id) => OwnerAsk::Cancel(*id),
+            Ask::Pending(queue) => OwnerAsk::Pending(queue.clone()),
+            Ask::Ping { .. } | Ask::Store { .. } | Ask::Permits { .. } | Ask::TakeOver { .. } => {
+                return None;
+            }
+        };
+        let (tx, rx) = oneshot::channel();
+        owner.tell(Event::Asked(ask, tx)).await.ok()?;
+        tokio::time::timeout(limit, rx).await.ok()?.ok()
+    }
+}
--- /dev/null
+++ b/src/coordinator/layout.rs
@@ -0,0 +1,100 @@
+//! Where the records of workflows lie in the store.
+//!
+//! All records of one owner lie in one partition, since a transaction changes one partition only.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::VmName;
+use crate::port::records::RecordKey;
+use crate::workflow::record::WorkflowRecord;
+use crate::workflow::{NameError, WorkflowId};
+
+/// The partition of the only shard.
+pub(super) const PARTITION: &str = "main";
+
+/// Who owns the workflows.
+pub(super) const OWNERS: &str = "owners";
+
+/// One record for each workflow.
+pub(super) const WORKFLOWS: &str = "workflows";
+
+/// What has happened to workflows that have not ended.
+pub(super) const PROGRESS: &str = "progress";
+
+/// What VMs wrote while they did not reach the owner.
+pub(super) const HANDOVERS: &str = "handovers";
+
+/// The key of the owner, and of the list of workers.
+const ONLY_KEY: &str = "main";
+
+/// The table of the list of workers that tasks may run on.
+pub(super) const WORKERS: &str = "workers";
+
+/// Who owns the workflows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct OwnerRecord {
+    /// The VM.
+    pub(super) vm: VmName,
+    /// Where other VMs reach it.
+    pub(super) address: std::net::SocketAddr,
+    /// When its process started, which tells it from earlier ones of the same VM.
+    pub(super) started_unix_ms: u64,
+    /// Grows from owner to owner; the fencing token at workers.
+    pub(super) epoch: u64,
+    /// Grows with each transaction of the owner, so that a lost answer can be resolved.
+    pub(super) transaction: u64,
+    /// Whether the owner has given up, so that another may follow at once.
+    pub(super) released: bool,
+}
+
+impl OwnerRecord {
+    /// Whether both were written by the same process.
+    pub(super) fn is_same_process(&self, other: &Self) -> bool {
+        self.vm == other.vm && self.started_unix_ms == other.started_unix_ms
+    }
+}
+
+/// What a VM wrote for the owner to find.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) enum Handover {
+    /// A workflow, recorded as new in the same transaction.
+    Submitted(WorkflowRecord),
+    /// A cancellation.
+    Cancelled,
+}
+
+/// The record of the owner.
+pub(super) fn owner_key() -> RecordKey {
+    RecordKey::new(OWNERS, PARTITION, ONLY_KEY)
+}
+
+/// The record of the list of workers.
+pub(super) fn workers_key() -> RecordKey {
+    RecordKey::new(WORKERS, PARTITION, ONLY_KEY)
+}
+
+/// The record of a workflow.
+pub(super) fn workflow_key(id: WorkflowId) -> RecordKey {
+    RecordKey::new(WORKFLOWS, PARTITION, id.to_string())
+}
+
+/// The record of a workflow's progress.
+pub(super) fn progress_key(id: WorkflowId) -> RecordKey {
+    RecordKey::new(PROGRESS, PARTITION, id.to_string())
+}
+
+/// The record of a submission that was handed over.
+pub(super) fn submitted_key(id: WorkflowId) -> RecordKey {
+    RecordKey::new(HANDOVERS, PARTITION, format!("{id}.submitted"))
+}
+
+/// The record of a cancellation that was handed over.
+pub(super) fn cancelled_key(id: WorkflowId) -> RecordKey {
+    RecordKey::new(HANDOVERS, PARTITION, format!("{id}.cancelled"))
+}
+
+/// The workflow that a record is about.
+pub(super) fn workflow_of(key: &RecordKey) -> Result<WorkflowId, NameError> {
+    let name = key.key.split('.').next().unwrap_or_default();
+    name.parse()
+}
--- /dev/null
+++ b/src/coordinator/ledger.rs
@@ -0,0 +1,187 @@
+//! Transactions of the owner, each of which proves that it still is the owner.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::layout::{self, OwnerRecord};
+use super::reader::{self, CALL_TIMEOUT};
+use crate::port::records::{
+    Record, RecordKey, SharedRecords, StoreCall, StoreError, StoreReply, Transaction,
+};
+use crate::workflow::record::{self, WorkflowRecord};
+use crate::workflow::{Batch, WorkflowId};
+
+/// Before a transaction without a result is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The most changes in one batch: a transaction holds at most 100 entries, two are the owner's, and
+/// a new workflow takes two.
+pub(super) const MAX_CHANGES: usize = 48;
+
+/// The process no longer owns the workflows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("another process owns the workflows")]
+pub(super) struct Overtaken;
+
+/// What a batch met that is recorded now.
+#[derive(Debug, Default)]
+pub(super) struct Recording {
+    /// New workflows that had a record already.
+    pub(super) existing: Vec<(WorkflowId, WorkflowRecord)>,
+}
+
+/// Tells how the store serves the owner.
+pub(super) trait StoreWatch: Send + Sync {
+    /// A call failed; the transaction is repeated.
+    fn failed(&self, error: &StoreError);
+    /// A call succeeded.
+    fn succeeded(&self);
+}
+
+/// Writes batches, one at a time.
+#[derive(Debug, Clone)]
+pub(super) struct Ledger {
+    pub(super) owner: OwnerRecord,
+    /// The version of the owner's record.
+    version: u64,
+}
+
+impl Ledger {
+    /// Tries to make `owner` the owner after the record of `version`, with 0 for none; `None` where
+    /// another process was faster.
+    pub(super) async fn claim(
+        records: &SharedRecords,
+        owner: OwnerRecord,
+        version: u64,
+    ) -> Result<Option<Self>, StoreError> {
+        let transaction = Transaction {
+            expected: vec![(layout::owner_key(), version)],
+            puts: vec![(layout::owner_key(), encode(&owner)?)],
+            removals: Vec::new(),
+        };
+        let call = StoreCall::Commit(transaction);
+        match records.call(&call, CALL_TIMEOUT).await {
+            Ok(StoreReply::Committed { version }) => Ok(Some(Self { owner, version })),
+            Ok(_) | Err(StoreError::Unknown(_)) => {
+                let found = reader::read_owner(records).await?;
+                let own = found.filter(|(found, _)| found.is_same_process(&owner));
+                Ok(own.map(|(owner, version)| Self { owner, version }))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Records a batch, however long that takes.
+    ///
+    /// A transaction without an answer is repeated with the same conditions, of which each change of
+    /// the owner's record makes an end; so it takes effect once.
+    pub(super) async fn record(
+        &mut self,
+        records: &SharedRecords,
+        batch: &Batch,
+        released: bool,
+        watch: &dyn StoreWatch,
+    ) -> Result<Recording, Overtaken> {
+        let mut recording = Recording::default();
+        self.owner.transaction += 1;
+        self.owner.released = released;
+        loop {
+            let transaction = match self.transaction(batch, &recording) {
+                Ok(transaction) => transaction,
+                Err(error) => {
+                    tracing::error!(%error, "a batch cannot be encoded");
+                    return Ok(recording);
+                }
+            };
+            let call = StoreCall::Commit(transaction);
+            match records.call(&call, CALL_TIMEOUT).await {
+                Ok(StoreReply::Committed { version }) => {
+                    self.version = version;
+                    watch.succeeded();
+                    return Ok(recording);
+                }
+                Ok(StoreReply::Conflict { records }) => {
+                    watch.succeeded();
+                    if self.resolve(&records, &mut recording)? {
+                        return Ok(recording);
+                    }
+                }
+                Ok(other) => {
+                    tracing::error!(
+                        ?other,
+                        "the store answered a transaction with something else"
+                    );
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+                Err(error) => {
+                    watch.failed(&error);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Reads from a conflict what happened: true where the transaction took effect before.
+    fn resolve(&mut self, rows: &[Record], recording: &mut Recording) -> Result<bool, Overtaken> {
+        let key = layout::owner_key();
+        let row = rows.iter().find(|row| row.key == key);
+        let found = row.and_then(|row| Some((reader::decode::<OwnerRecord>(row)?, row.version)));
+        let Some((found, version)) = found else {
+            return Err(Overtaken);
+        };
+        if !found.is_same_process(&self.owner) || found.epoch != self.owner.epoch {
+            return Err(Overtaken);
+        }
+        if found.transaction == self.owner.transaction {
+            self.version = version;
+            return Ok(true);
+        }
+        self.version = version;
+        for row in rows.iter().filter(|row| row.key.table == layout::WORKFLOWS) {
+            let id = layout::workflow_of(&row.key);
+            if let (Ok(id), Some(record)) = (id, reader::decode::<WorkflowRecord>(row)) {
+                recording.existing.push((id, record));
+            }
+        }
+        Ok(false)
+    }
+
+    fn transaction(&self, batch: &Batch, recording: &Recording) -> Result<Transaction, StoreError> {
+        let mut transaction = Transaction {
+            expected: vec![(layout::owner_key(), self.version)],
+            puts: vec![(layout::owner_key(), encode(&self.owner)?)],
+            removals: Vec::new(),
+        };
+        let exists = |id: &WorkflowId| recording.existing.iter().any(|(known, _)| known == id);
+        for (id, record) in batch.added.iter().filter(|(id, _)| !exists(id)) {
+            transaction.expected.push((layout::workflow_key(*id), 0));
+            put(&mut transaction, layout::workflow_key(*id), record)?;
+        }
+        for (id, progress) in &batch.progress {
+            put(&mut transaction, layout::progress_key(*id), progress)?;
+        }
+        for (id, state) in &batch.ended {
+            let record = WorkflowRecord::Ended(*state);
+            put(&mut transaction, layout::workflow_key(*id), &record)?;
+            transaction.removals.push(layout::progress_key(*id));
+        }
+        if let Some(workers) = &batch.workers {
+            put(&mut transaction, layout::workers_key(), workers)?;
+        }
+        Ok(transaction)
+    }
+}
+
+fn put<T: Serialize>(
+    transaction: &mut Transaction,
+    key: RecordKey,
+    value: &T,
+) -> Result<(), StoreError> {
+    transaction.puts.push((key, encode(value)?));
+    Ok(())
+}
+
+pub(super) fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
+    record::encode(value).map_err(|error| StoreError::Rejected(error.to_string()))
+}
--- /dev/null
+++ b/src/coordinator/node.rs
@@ -0,0 +1,189 @@
+//! One VM: ties the seat, the gateway and the listener for other VMs together.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::directory::Directory;
+use super::gateway::Gateway;
+use super::handler::WorkflowHandler;
+use super::message::Member;
+use super::owner::OwnerPorts;
+use super::relay::RelayedRecords;
+use super::seat::Seat;
+use super::settings::CoordinatorSettings;
+use crate::adapter::nng::{NngPeers, NngServer};
+use crate::error::Result;
+use crate::node::clock::Clock;
+use crate::port::executor::Executors;
+use crate::port::feeds::SharedFeeds;
+use crate::port::permits::SharedPermits;
+use crate::port::records::SharedRecords;
+use crate::workflow::{EngineConfig, QueueConfig, QueuePolicy};
+
+/// The longest lease that is asked for: longer than it takes to follow a lost owner, so that tasks go
+/// on, and short enough that tasks of a worker that is cut off are soon known to have ended.
+const LEASE_MS: u64 = 5_000;
+
+/// How long the feed of configurations waits for a change; the store allows 30 s.
+const CONFIG_WAIT: Duration = Duration::from_secs(20);
+
+/// After the feed failed it is read again after so long, so that a configuration is in force within
+/// the platform's 2 s once the store serves again.
+const CONFIG_RETRY: Duration = Duration::from_millis(200);
+
+/// VMs share no secret on the platform, which keeps others off the ports between them.
+const NO_SECRET: &str = "";
+
+/// What a VM needs from the outside.
+pub struct Ports {
+    /// The store, directly.
+    pub records: SharedRecords,
+    /// The workers.
+    pub executors: Arc<dyn Executors>,
+    /// The service of permits.
+    pub permits: SharedPermits,
+    /// Makes the feeds from the store as it is reached through other VMs too.
+    pub feeds: fn(SharedRecords) -> SharedFeeds,
+}
+
+/// One VM that runs workflows.
+pub struct Coordinator {
+    gateway: Arc<Gateway>,
+    seat: Arc<Seat>,
+    server: NngServer,
+    tasks: JoinSet<()>,
+}
+
+impl Coordinator {
+    /// Starts to take part; must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address for other VMs cannot be used.
+    pub fn start(settings: &CoordinatorSettings, ports: Ports) -> Result<Self> {
+        let clock = Clock::start();
+        let me = Member {
+            vm: settings.vm.clone(),
+            address: settings.peers,
+            started_unix_ms: unix_ms(),
+        };
+        let directory = Arc::new(Directory::new(me.clone(), settings.seeds.clone()));
+        let peers = Arc::new(NngPeers::new(NO_SECRET));
+        let relayed = RelayedRecords::new(
+            ports.records.clone(),
+            peers.clone(),
+            directory.clone(),
+            clock,
+        );
+        let records: SharedRecords = Arc::new(relayed);
+        let feeds = (ports.feeds)(records.clone());
+        let (queues_tx, queues) = watch::channel(Vec::new());
+        let owner_ports = OwnerPorts {
+            records: records.clone(),
+            executors: ports.executors,
+            feeds: feeds.clone(),
+            permits: ports.permits.clone(),
+            peers: peers.clone(),
+            directory: directory.clone(),
+            clock,
+        };
+        let cfg = EngineConfig {
+            lease_ms: LEASE_MS.min(settings.lease_max_ms),
+            stop_ms: settings.task_stop_ms,
+        };
+        let seat = Arc::new(Seat::new(me, cfg, owner_ports, queues));
+        let gateway = Gateway::new(records, peers, directory.clone(), seat.clone(), clock);
+        let gateway = Arc::new(gateway);
+        let handler = WorkflowHandler {
+            seat: seat.clone(),
+            gateway: gateway.clone(),
+            directory,
+            direct: ports.records,
+            permits: ports.permits,
+            clock,
+        };
+        let server = NngServer::listen(settings.peers, NO_SECRET, Arc::new(handler))?;
+        let config = Arc::new(Config {
+            gateway: gateway.clone(),
+            queues: queues_tx,
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn(feed_config(feeds, config.clone()));
+        let known = config.clone();
+        tasks.spawn(
+            seat.clone()
+                .run(move || known.version(), move |newer| config.learn(newer)),
+        );
+        Ok(Self {
+            gateway,
+            seat,
+            server,
+            tasks,
+        })
+    }
+
+    /// Answers callers.
+    pub fn gateway(&self) -> Arc<Gateway> {
+        self.gateway.clone()
+    }
+
+    /// Gives the workflows up, if this VM owns them; callers are answered on.
+    pub async fn hand_over(&self) {
+        self.seat.stop().await;
+    }
+
+    /// Ends.
+    pub async fn close(mut self) {
+        self.tasks.shutdown().await;
+        self.server.close().await;
+    }
+}
+
+/// The configuration in force on this VM, and who has to know of it.
+struct Config {
+    gateway: Arc<Gateway>,
+    queues: watch::Sender<Vec<QueuePolicy>>,
+}
+
+impl Config {
+    fn version(&self) -> u64 {
+        let config = self.gateway.config();
+        config.as_ref().as_ref().map_or(0, |config| config.version)
+    }
+
+    fn learn(&self, config: QueueConfig) {
+        let queues = config.routes.iter().map(|route| route.queue.clone());
+        let queues = queues.collect();
+        if self.gateway.set_config(config) {
+            self.queues.send_replace(queues);
+        }
+    }
+}
+
+async fn feed_config(feeds: SharedFeeds, config: Arc<Config>) {
+    let mut version = None;
+    loop {
+        match feeds.configurations(version, CONFIG_WAIT).await {
+            Ok(news) => {
+                version = Some(news.version);
+                for newer in news.items {
+                    config.learn(newer);
+                }
+            }
+            Err(error) => {
+                tracing::warn!(%error, "the configuration cannot be read");
+                tokio::time::sleep(CONFIG_RETRY).await;
+            }
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/src/coordinator/owner.rs
@@ -0,0 +1,540 @@
+//! The actor that runs the engine on the VM that owns the workflows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context, Message};
+use slab::Slab;
+use tokio::sync::{oneshot, watch};
+
+use super::desk::{Desk, Question};
+use super::directory::Directory;
+use super::layout::Handover;
+use super::ledger::{Ledger, MAX_CHANGES, Overtaken, Recording, StoreWatch};
+use super::message::{Ask, Told};
+use super::reader::Handovers;
+use crate::message::{Reply, Request};
+use crate::model::{QueueName, Time, WorkerName};
+use crate::node::clock::Clock;
+use crate::port::executor::{
+    ExecutorError, Executors, LookOrder, LookReport, PermitError, Permits, StartOrder, WorkerTarget,
+};
+use crate::port::feeds::{News, SharedFeeds, WorkerChange};
+use crate::port::peer::SharedPeers;
+use crate::port::permits::SharedPermits;
+use crate::port::records::{SharedRecords, StoreError};
+use crate::workflow::record::Progress;
+use crate::workflow::{
+    Batch, Cancelling, Effect, Engine, QueuePolicy, StepId, Submission, TaskId, Token, WorkerKey,
+    WorkflowId, WorkflowSpec,
+};
+
+/// How often time passes for the engine when nothing else happens.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Between the beginnings of two transactions, so that one carries the changes of several events.
+const COMMIT_INTERVAL: Duration = Duration::from_millis(30);
+
+/// An owner without changes rewrites its record so often; others look for a third of the time that
+/// they wait before they follow it.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// New workflows are refused once the store has failed for so long. It is below a quarter of the
+/// shortest objective of a queue, beyond which a refusal counts as late.
+const REFUSE_AFTER_MS: u64 = 200;
+
+/// Added to the time that the service of permits takes for a question, for the way there and for
+/// one question of this VM that is still under way.
+const PERMIT_TIMEOUT_MS: u64 = 800;
+
+/// What an owner needs from its VM.
+#[derive(Clone)]
+pub(super) struct OwnerPorts {
+    pub(super) records: SharedRecords,
+    pub(super) executors: Arc<dyn Executors>,
+    pub(super) feeds: SharedFeeds,
+    pub(super) permits: SharedPermits,
+    pub(super) peers: SharedPeers,
+    pub(super) directory: Arc<Directory>,
+    pub(super) clock: Clock,
+}
+
+/// What happens to the owner.
+pub(super) enum Event {
+    /// A question of a caller or of another VM.
+    Asked(OwnerAsk, oneshot::Sender<Told>),
+    /// A worker answered a look that was sent at this time.
+    Looked(WorkerKey, Time, Result<LookReport, ExecutorError>),
+    /// A worker answered a start.
+    Started(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
+    /// A worker answered a stop.
+    Stopped(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
+    /// The service of permits answered, or did not.
+    Permitted {
+        vm: SocketAddr,
+        step: StepId,
+        asked: Vec<WorkerName>,
+        answer: Result<Permits, PermitError>,
+    },
+    /// A transaction has ended.
+    Recorded(Box<(Ledger, Batch, Result<Recording, Overtaken>)>),
+    /// The list of workers changed.
+    Workers(News<WorkerChange>),
+    /// VMs that did not reach the owner wrote to the store.
+    HandedOver(Handovers),
+    /// A configuration came into force.
+    Queues(Vec<QueuePolicy>),
+    /// Time passes.
+    Tick,
+    /// Another VM is to follow.
+    Release(oneshot::Sender<()>),
+}
+
+/// What callers and other VMs ask the owner.
+#[derive(Debug)]
+pub(super) enum OwnerAsk {
+    Submit(WorkflowId, WorkflowSpec),
+    State(WorkflowId),
+    Cancel(WorkflowId),
+    Pending(QueueName),
+}
+
+/// How the store serves the owner.
+#[derive(Debug)]
+struct Health {
+    clock: Clock,
+    failing: AtomicBool,
+    since_ms: AtomicU64,
+}
+
+impl Health {
+    fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            failing: AtomicBool::new(false),
+            since_ms: AtomicU64::new(0),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.clock.now().0 / 1_000
+    }
+
+    /// How long the store has failed, in milliseconds.
+    fn failing_ms(&self) -> Option<u64> {
+        let since = self.since_ms.load(Ordering::Relaxed);
+        let failing = self.failing.load(Ordering::Relaxed);
+        failing.then(|| self.now_ms().saturating_sub(since))
+    }
+}
+
+impl StoreWatch for Health {
+    fn failed(&self, error: &StoreError) {
+        if !self.failing.swap(true, Ordering::Relaxed) {
+            self.since_ms.store(self.now_ms(), Ordering::Relaxed);
+            tracing::warn!(%error, "the owner's transaction has no result and is repeated");
+        }
+    }
+
+    fn succeeded(&self) {
+        if let Some(ms) = self.failing_ms() {
+            tracing::info!(after_ms = ms, "the store records again");
+            self.failing.store(false, Ordering::Relaxed);
+        }
+    }
+}
+
+/// The actor.
+#[derive(Actor)]
+pub(super) struct Owner {
+    engine: Engine,
+    /// `None` while a transaction is under way.
+    ledger: Option<Ledger>,
+    ports: OwnerPorts,
+    desk: Desk,
+    callers: Slab<oneshot::Sender<Told>>,
+    health: Arc<Health>,
+    last_commit: Time,
+    releasing: Option<oneshot::Sender<()>>,
+    ended: watch::Sender<bool>,
+}
+
+impl Owner {
+    /// An actor for an engine that has taken up what is recorded; `ended` turns true when it no
+    /// longer owns the workflows.
+    pub(super) fn new(
+        engine: Engine,
+        ledger: Ledger,
+        ports: OwnerPorts,
+        ended: watch::Sender<bool>,
+    ) -> Self {
+        Self {
+            engine,
+            ledger: Some(ledger),
+            health: Arc::new(Health::new(ports.clock)),
+            last_commit: ports.clock.now(),
+            ports,
+            desk: Desk::default(),
+            callers: Slab::new(),
+            releasing: None,
+            ended,
+        }
+    }
+
+    /// Lets time pass for `owner` until it has ended.
+    pub(super) async fn run_ticks(owner: ActorRef<Self>) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if owner.tell(Event::Tick).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn token(&mut self, tx: oneshot::Sender<Told>) -> Token {
+        Token(self.callers.insert(tx) as u64)
+    }
+
+    fn reply(&mut self, token: Token, told: Told) {
+        let index = usize::try_from(token.0).unwrap_or(usize::MAX);
+        if let Some(tx) = self.callers.try_remove(index) {
+            // A caller that no longer waits needs no answer.
+            let _ = tx.send(told);
+        }
+    }
+
+    fn take(&mut self, event: Event, me: &ActorRef<Self>) {
+        let now = self.ports.clock.now();
+        match event {
+            Event::Asked(ask, tx) => self.asked(ask, tx, now),
+            Event::Looked(worker, sent, answer) => self.engine.looked(worker, sent, answer, now),
+            Event::Started(worker, task, run, answer) => {
+                self.engine.start_answered(worker, task, run, answer, now);
+            }
+            Event::Stopped(worker, task, run, answer) => {
+                self.engine.stop_answered(worker, task, run, answer, now);
+            }
+            Event::Permitted {
+                vm,
+                step,
+                asked,
+                answer,
+            } => {
+                self.desk.answered(vm, answer.is_ok(), now);
+                self.engine.permits_answered(step, &asked, answer, now);
+            }
+            Event::Recorded(recorded) => {
+                let (ledger, batch, recording) = *recorded;
+                self.recorded(ledger, &batch, recording, now);
+            }
+            Event::Workers(news) => self.workers(news, now),
+            Event::HandedOver(handovers) => self.handed_over(handovers, now),
+            Event::Queues(queues) => self.engine.set_queues(queues),
+            Event::Tick => self.tick(now),
+            Event::Release(tx) => self.releasing = Some(tx),
+        }
+        let unix_ms = self.ports.clock.unix_now().0 / 1_000;
+        self.engine.poll(now, unix_ms);
+        self.carry_out(me, now);
+        self.commit(me, now);
+        self.ask_permits(me, now);
+    }
+
+    fn asked(&mut self, ask: OwnerAsk, tx: oneshot::Sender<Told>, now: Time) {
+        if self.releasing.is_some() {
+            let _ = tx.send(Told::NotOwner(None));
+            return;
+        }
+        match ask {
+            OwnerAsk::Submit(id, spec) => {
+                let token = self.token(tx);
+                if self.engine.submit(id, spec, token, now) == Submission::Accepted {
+                    self.reply(token, Told::Accepted);
+                }
+            }
+            OwnerAsk::State(id) => {
+                let _ = tx.send(Told::State(self.engine.state(id)));
+            }
+            OwnerAsk::Cancel(id) => {
+                let token = self.token(tx);
+                match self.engine.cancel(id, Some(token), now) {
+                    Cancelling::Ended => self.reply(token, Told::Cancelled),
+                    Cancelling::Unknown => self.reply(token, Told::State(None)),
+                    Cancelling::Waits => {}
+                }
+            }
+            OwnerAsk::Pending(queue) => {
+                let _ = tx.send(Told::Pending(self.engine.pending(&queue)));
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        let vms = self.ports.directory.members(now);
+        let vms: Vec<SocketAddr> = vms.into_iter().map(|member| member.address).collect();
+        self.desk.set_vms(&vms);
+        self.engine.set_askers(vms.len());
+        if self
+            .health
+            .failing_ms()
+            .is_some_and(|ms| ms > REFUSE_AFTER_MS)
+        {
+            self.engine.refuse_unsent();
+        }
+    }
+
+    fn workers(&mut self, news: News<WorkerChange>, now: Time) {
+        let mut listed = Vec::new();
+        for change in news.items {
+            match change {
+                WorkerChange::Listed(listing) => {
+                    listed.push(listing.name.clone());
+                    self.engine.set_worker(listing, now);
+                }
+                WorkerChange::Gone(name) => self.engine.unlist_worker(&name),
+            }
+        }
+        if news.whole {
+            self.engine.keep_only_workers(&listed);
+        }
+    }
+
+    fn handed_over(&mut self, handovers: Handovers, now: Time) {
+        for (id, handover) in handovers.items {
+            match handover {
+                Handover::Submitted(record) => {
+                    tracing::info!(request = %id, "a workflow was handed over through the store");
+                    self.engine.load(id, record, &Progress::default(), now);
+                }
+                Handover::Cancelled => {
+                    tracing::info!(request = %id, "a cancellation was handed over through the store");
+                    // No one waits: the caller was answered when the record was written.
+                    let _ = self.engine.cancel(id, None, now);
+                }
+            }
+        }
+    }
+
+    fn recorded(
+        &mut self,
+        ledger: Ledger,
+        batch: &Batch,
+        recording: Result<Recording, Overtaken>,
+        now: Time,
+    ) {
+        let released = ledger.owner.released;
+        self.ledger = Some(ledger);
+        match recording {
+            Ok(recording) => self.engine.committed(batch, &recording.existing),
+            Err(Overtaken) => {
+                tracing::warn!(
+                    age_ms = now.since(self.last_commit).as_millis(),
+                    "another process owns the workflows"
+                );
+                self.end();
+                return;
+            }
+        }
+        if released {
+            tracing::info!("the workflows are given up");
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        for tx in self.callers.drain() {
+            let _ = tx.send(Told::Unknown);
+        }
+        if let Some(tx) = self.releasing.take() {
+            let _ = tx.send(());
+        }
+        self.ended.send_replace(true);
+    }
+
+    fn has_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
+    fn carry_out(&mut self, me: &ActorRef<Self>, now: Time) {
+        if self.engine.is_overtaken() {
+            tracing::warn!("a worker has seen a later owner");
+        }
+        for effect in self.engine.take_effects() {
+            match effect {
+                Effect::Look {
+                    worker,
+                    target,
+                    order,
+                } => self.look(me, worker, target, order, now),
+                Effect::Start {
+                    worker,
+                    target,
+                    order,
+                } => self.start(me, worker, target, order),
+                Effect::Stop {
+                    worker,
+                    target,
+                    task,
+                    run,
+                } => self.stop(me, worker, target, task, run),
+                Effect::Ask {
+                    step,
+                    workers,
+                    takes_ms,
+                    priority,
+                } => self.desk.push(Question {
+                    step,
+                    workers,
+                    takes_ms,
+                    priority,
+                }),
+                Effect::Accepted(token) => self.reply(token, Told::Accepted),
+                Effect::Refused(token) => self.reply(token, Told::Refused),
+                Effect::Cancelled(token) => self.reply(token, Told::Cancelled),
+            }
+        }
+    }
+
+    fn look(
+        &self,
+        me: &ActorRef<Self>,
+        worker: WorkerKey,
+        target: WorkerTarget,
+        order: LookOrder,
+        now: Time,
+    ) {
+        let (executors, me) = (self.ports.executors.clone(), me.clone());
+        tokio::spawn(async move {
+            let answer = executors.look(&target, &order).await;
+            let _ = me.tell(Event::Looked(worker, now, answer)).await;
+        });
+    }
+
+    fn start(
+        &self,
+        me: &ActorRef<Self>,
+        worker: WorkerKey,
+        target: WorkerTarget,
+        order: StartOrder,
+    ) {
+        let (executors, me) = (self.ports.executors.clone(), me.clone());
+        tokio::spawn(async move {
+            let answer = executors.start(&target, &order).await;
+            let event = Event::Started(worker, order.task, order.run, answer);
+            let _ = me.tell(event).await;
+        });
+    }
+
+    fn stop(
+        &self,
+        me: &ActorRef<Self>,
+        worker: WorkerKey,
+        target: WorkerTarget,
+        task: TaskId,
+        run: u32,
+    ) {
+        let (executors, me) = (self.ports.executors.clone(), me.clone());
+        tokio::spawn(async move {
+            let answer = executors.stop(&target, task, run).await;
+            let _ = me.tell(Event::Stopped(worker, task, run, answer)).await;
+        });
+    }
+
+    /// Begins the next transaction if there is something to record, or the heartbeat is due.
+    fn commit(&mut self, me: &ActorRef<Self>, now: Time) {
+        let waited = now.since(self.last_commit);
+        let releasing = self.releasing.is_some();
+        if self.ledger.is_none() || (waited < COMMIT_INTERVAL && !releasing) {
+            return;
+        }
+        let batch = self.engine.take_batch(MAX_CHANGES);
+        if batch.is_none() && waited < HEARTBEAT && !releasing {
+            return;
+        }
+        let Some(mut ledger) = self.ledger.take() else {
+            return;
+        };
+        self.last_commit = now;
+        let release = releasing && batch.is_none();
+        let batch = batch.unwrap_or_default();
+        let (records, health, me) = (self.ports.records.clone(), self.health.clone(), me.clone());
+        tokio::spawn(async move {
+            let recording = ledger
+                .record(&records, &batch, release, health.as_ref())
+                .await;
+            let _ = me
+                .tell(Event::Recorded(Box::new((ledger, batch, recording))))
+                .await;
+        });
+    }
+
+    /// Hands questions about permits to VMs that are free.
+    fn ask_permits(&mut self, me: &ActorRef<Self>, now: Time) {
+        while let Some((vm, question)) = self.desk.next(now) {
+            let (ports, me) = (self.ports.clone(), me.clone());
+            tokio::spawn(async move {
+                let Question {
+                    step,
+                    workers,
+                    takes_ms,
+                    ..
+                } = question;
+                let timeout = Duration::from_millis(takes_ms + PERMIT_TIMEOUT_MS);
+                let answer = ports.ask_through(vm, step, &workers, timeout).await;
+                let event = Event::Permitted {
+                    vm,
+                    step,
+                    asked: workers,
+                    answer,
+                };
+                let _ = me.tell(event).await;
+            });
+        }
+    }
+}
+
+impl OwnerPorts {
+    /// Asks the service of permits, from the VM at `vm`.
+    async fn ask_through(
+        &self,
+        vm: SocketAddr,
+        step: StepId,
+        workers: &[WorkerName],
+        timeout: Duration,
+    ) -> Result<Permits, PermitError> {
+        if vm == self.directory.own() {
+            return self.permits.ask(step, workers, timeout).await;
+        }
+        let request = Request::Workflow(Ask::Permits {
+            step,
+            workers: workers.to_vec(),
+            timeout_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
+        });
+        match self.peers.call(vm, &request, timeout).await {
+            Ok(Reply::Workflow(Told::Permits(answer))) => answer,
+            Ok(other) => Err(PermitError(format!("an unexpected reply: {other:?}"))),
+            Err(error) => Err(PermitError(error.to_string())),
+        }
+    }
+}
+
+impl Message<Event> for Owner {
+    type Reply = ();
+
+    async fn handle(&mut self, event: Event, cx: &mut Context<Self, ()>) {
+        if self.has_ended() {
+            return;
+        }
+        let me = cx.actor_ref().clone();
+        self.take(event, &me);
+        if self.has_ended() {
+            cx.stop();
+        }
+    }
+}
--- /dev/null
+++ b/src/coordinator/reader.rs
@@ -0,0 +1,210 @@
+//! Reads of the records of workflows.
+
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+
+use super::layout::{self, Handover, OwnerRecord};
+use crate::port::executor::WorkerListing;
+use crate::port::records::{Record, RecordKey, SharedRecords, StoreCall, StoreError, StoreReply};
+use crate::workflow::WorkflowId;
+use crate::workflow::record::{self, Progress, WorkflowRecord, WorkflowState};
+
+/// How long one call may take; the store answers in 4 ms, and up to sixty times slower when it is
+/// disturbed.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The most records of one page.
+const PAGE: u32 = 500;
+
+/// Everything that a new owner reads.
+#[derive(Debug, Default)]
+pub(super) struct Recorded {
+    pub(super) workflows: Vec<(WorkflowId, WorkflowRecord, Progress)>,
+    pub(super) workers: Vec<WorkerListing>,
+    /// Up to which version handovers are contained.
+    pub(super) version: u64,
+}
+
+/// News of handovers.
+#[derive(Debug)]
+pub(super) struct Handovers {
+    pub(super) items: Vec<(WorkflowId, Handover)>,
+    pub(super) version: u64,
+    /// Whether changes may have been missed, so that everything has to be read.
+    pub(super) gap: bool,
+}
+
+/// Reads one record; `None` where it is absent.
+pub(super) async fn read_one(
+    records: &SharedRecords,
+    key: &RecordKey,
+) -> Result<Option<Record>, StoreError> {
+    let call = StoreCall::Scan {
+        table: key.table.clone(),
+        partition: key.partition.clone(),
+        from: key.key.clone(),
+        to: None,
+        limit: 1,
+    };
+    match records.call(&call, CALL_TIMEOUT).await? {
+        StoreReply::Records { records, .. } => {
+            Ok(records.into_iter().find(|record| record.key == *key))
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Reads who owns the workflows, with the version of the record.
+pub(super) async fn read_owner(
+    records: &SharedRecords,
+) -> Result<Option<(OwnerRecord, u64)>, StoreError> {
+    let Some(row) = read_one(records, &layout::owner_key()).await? else {
+        return Ok(None);
+    };
+    let version = row.version;
+    Ok(decode::<OwnerRecord>(&row).map(|owner| (owner, version)))
+}
+
+/// Reads how a workflow stands; `None` where it is not recorded.
+pub(super) async fn read_state(
+    records: &SharedRecords,
+    id: WorkflowId,
+) -> Result<Option<WorkflowState>, StoreError> {
+    let Some(row) = read_one(records, &layout::workflow_key(id)).await? else {
+        return Ok(None);
+    };
+    match decode::<WorkflowRecord>(&row) {
+        Some(WorkflowRecord::Ended(state)) => return Ok(Some(state)),
+        Some(WorkflowRecord::Active(_)) => {}
+        None => return Err(StoreError::Rejected("the record cannot be read".to_owned())),
+    }
+    let progress = read_one(records, &layout::progress_key(id)).await?;
+    let progress = progress.and_then(|row| decode::<Progress>(&row));
+    let cancelled = read_one(records, &layout::cancelled_key(id)).await?;
+    let cancelled = cancelled.is_some() || progress.as_ref().is_some_and(|known| known.cancelled);
+    Ok(Some(if cancelled {
+        WorkflowState::Cancelled
+    } else if progress.is_some() {
+        WorkflowState::Running
+    } else {
+        WorkflowState::Queued
+    }))
+}
+
+/// Reads all records of workflows.
+pub(super) async fn read_all(records: &SharedRecords) -> Result<Recorded, StoreError> {
+    let (handovers, version) = scan(records, layout::HANDOVERS).await?;
+    let (workflows, _) = scan(records, layout::WORKFLOWS).await?;
+    let (progress, _) = scan(records, layout::PROGRESS).await?;
+    let workers = read_one(records, &layout::workers_key()).await?;
+    let mut known: std::collections::HashMap<WorkflowId, Progress> = progress
+        .iter()
+        .filter_map(|row| Some((id_of(row)?, decode::<Progress>(row)?)))
+        .collect();
+    for (id, handover) in handovers.iter().filter_map(handover) {
+        if handover == Handover::Cancelled {
+            known.entry(id).or_default().cancelled = true;
+        }
+    }
+    let workflows = workflows.iter().filter_map(|row| {
+        let id = id_of(row)?;
+        let record = decode::<WorkflowRecord>(row)?;
+        Some((id, record, known.remove(&id).unwrap_or_default()))
+    });
+    Ok(Recorded {
+        workflows: workflows.collect(),
+        workers: workers.and_then(|row| decode(&row)).unwrap_or_default(),
+        version,
+    })
+}
+
+/// Reads the handovers after `version`.
+pub(super) async fn read_handovers(
+    records: &SharedRecords,
+    version: u64,
+) -> Result<Handovers, StoreError> {
+    let call = StoreCall::Changes {
+        table: layout::HANDOVERS.to_owned(),
+        after: version,
+        wait_ms: 0,
+    };
+    match records.call(&call, CALL_TIMEOUT).await? {
+        StoreReply::Records {
+            records, version, ..
+        } => Ok(Handovers {
+            items: records.iter().filter_map(handover).collect(),
+            version,
+            gap: false,
+        }),
+        StoreReply::HistoryGone => {
+            let (rows, version) = scan(records, layout::HANDOVERS).await?;
+            Ok(Handovers {
+                items: rows.iter().filter_map(handover).collect(),
+                version,
+                gap: true,
+            })
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn scan(records: &SharedRecords, table: &str) -> Result<(Vec<Record>, u64), StoreError> {
+    let mut rows: Vec<Record> = Vec::new();
+    let mut first_version = None;
+    loop {
+        // The last key followed by the smallest character that keys of workflows do not contain.
+        let from = rows.last().map(|last| format!("{}!", last.key.key));
+        let call = StoreCall::Scan {
+            table: table.to_owned(),
+            partition: layout::PARTITION.to_owned(),
+            from: from.unwrap_or_default(),
+            to: None,
+            limit: PAGE,
+        };
+        match records.call(&call, CALL_TIMEOUT).await? {
+            StoreReply::Records {
+                records,
+                truncated,
+                version,
+            } => {
+                let first = *first_version.get_or_insert(version);
+                let empty = records.is_empty();
+                rows.extend(records);
+                if !truncated || empty {
+                    return Ok((rows, first));
+                }
+            }
+            other => return Err(unexpected(&other)),
+        }
+    }
+}
+
+fn handover(row: &Record) -> Option<(WorkflowId, Handover)> {
+    Some((id_of(row)?, decode(row)?))
+}
+
+fn id_of(row: &Record) -> Option<WorkflowId> {
+    let id = layout::workflow_of(&row.key);
+    if id.is_err() {
+        tracing::error!(key = %row.key.key, "a record has no workflow's name and is passed over");
+    }
+    id.ok()
+}
+
+/// Decodes a record; one that is removed or cannot be read is `None`, the latter with a log line.
+pub(super) fn decode<T: DeserializeOwned>(row: &Record) -> Option<T> {
+    let value = row.value.as_deref()?;
+    match record::decode(value) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            tracing::error!(table = %row.key.table, key = %row.key.key, %error,
+                "a record cannot be read and is passed over");
+            None
+        }
+    }
+}
+
+fn unexpected(reply: &StoreReply) -> StoreError {
+    StoreError::Rejected(format!("an unexpected reply: {reply:?}"))
+}
--- /dev/null
+++ b/src/coordinator/seat.rs
@@ -0,0 +1,383 @@
+//! Whether this VM owns the workflows: follows the owner, and takes its place when it is lost.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, Spawn};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::JoinSet;
+
+use super::layout::OwnerRecord;
+use super::ledger::Ledger;
+use super::message::{Ask, Member, OwnerHint, Told};
+use super::owner::{Event, Owner, OwnerPorts};
+use super::reader;
+use crate::message::{Reply, Request};
+use crate::model::Time;
+use crate::port::records::StoreError;
+use crate::workflow::{Engine, EngineConfig, QueueConfig, QueuePolicy};
+
+/// Between two pings of the owner.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long a ping may take: a slowed VM answers in tens of milliseconds.
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pings without an answer after which the owner's record is watched.
+const PINGS_MISSED: u32 = 2;
+
+/// An owner whose record stands still for so long is followed. Its record changes each 500 ms, and
+/// one transaction of a slow store takes up to 630 ms.
+const OWNER_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Between two looks at the record of an owner that does not answer.
+const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+
+/// How long the feed of workers waits for a change; the store allows 30 s.
+const WORKERS_WAIT: Duration = Duration::from_secs(10);
+
+/// Between two looks for what VMs wrote that did not reach the owner; with the 300 ms of a slow
+/// call it stays within the 3 s in which a cancellation has to take effect.
+const HANDOVERS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// After a feed failed it is read again after so long.
+const FEED_RETRY: Duration = Duration::from_millis(200);
+
+/// What the seat knows of an owner that does not answer.
+#[derive(Clone, Debug)]
+struct Silent {
+    version: u64,
+    since: Time,
+}
+
+/// The seat of the owner on this VM.
+pub(super) struct Seat {
+    me: Member,
+    cfg: EngineConfig,
+    ports: OwnerPorts,
+    queues: watch::Receiver<Vec<QueuePolicy>>,
+    owner: Mutex<Option<ActorRef<Owner>>>,
+    asked_to_follow: Notify,
+    stopping: watch::Sender<bool>,
+}
+
+impl Seat {
+    pub(super) fn new(
+        me: Member,
+        cfg: EngineConfig,
+        ports: OwnerPorts,
+        queues: watch::Receiver<Vec<QueuePolicy>>,
+    ) -> Self {
+        Self {
+            me,
+            cfg,
+            ports,
+            queues,
+            owner: Mutex::default(),
+            asked_to_follow: Notify::new(),
+            stopping: watch::Sender::new(false),
+        }
+    }
+
+    /// The owner on this VM.
+    pub(super) fn owner(&self) -> Option<ActorRef<Owner>> {
+        self.lock().clone()
+    }
+
+    /// Whether this VM owns the workflows.
+    pub(super) fn is_owner(&self) -> bool {
+        self.lock().is_some()
+    }
+
+    /// Takes the owner's place at once, if the owner of `epoch` has given up.
+    pub(super) fn follow_now(&self, epoch: u64) {
+        tracing::info!(epoch, "this VM is asked to follow an owner that gives up");
+        self.asked_to_follow.notify_one();
+    }
+
+    /// Follows the owner until the VM stops.
+    pub(super) async fn run(
+        self: Arc<Self>,
+        config: impl Fn() -> u64,
+        learn: impl Fn(QueueConfig),
+    ) {
+        let mut missed = 0;
+        let mut silent: Option<Silent> = None;
+        while !*self.stopping.borrow() {
+            if self.is_owner() {
+                (missed, silent) = (0, None);
+                tokio::time::sleep(PING_INTERVAL).await;
+                continue;
+            }
+            if self.ping(config(), &learn).await {
+                (missed, silent) = (0, None);
+                self.pause(PING_INTERVAL).await;
+                continue;
+            }
+            missed += 1;
+            if missed >= PINGS_MISSED || self.ports.directory.owner().is_none() {
+                self.watch_record(&mut silent).await;
+                self.pause(WATCH_INTERVAL).await;
+            }
+        }
+    }
+
+    async fn pause(&self, pause: Duration) {
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = self.asked_to_follow.notified() => {
+                let mut silent = None;
+                self.watch_record(&mut silent).await;
+            }
+        }
+    }
+
+    /// Tells the owner that this VM lives; false where it does not answer.
+    async fn ping(&self, config_version: u64, learn: &impl Fn(QueueConfig)) -> bool {
+        let Some(owner) = self.ports.directory.owner() else {
+            return false;
+        };
+        let request = Request::Workflow(Ask::Ping {
+            member: self.me.clone(),
+            config_version,
+        });
+        let reply = self.ports.peers.call(owner.address, &request, PING_TIMEOUT);
+        match reply.await {
+            Ok(Reply::Workflow(Told::Pong { members, config })) => {
+                let now = self.ports.clock.now();
+                self.ports.directory.set_members(members, now);
+                if let Some(config) = config {
+                    learn(config);
+                }
+                true
+            }
+            Ok(Reply::Workflow(Told::NotOwner(Some(hint)))) if hint.epoch > owner.epoch => {
+                self.ports.directory.set_owner(hint);
+                true
+            }
+            Ok(other) => {
+                tracing::debug!(?other, "a ping was not answered by an owner");
+                false
+            }
+            Err(error) => {
+                tracing::debug!(%error, "a ping was not answered");
+                false
+            }
+        }
+    }
+
+    /// Looks at the owner's record; takes the owner's place where it has given up or stood still.
+    async fn watch_record(&self, silent: &mut Option<Silent>) {
+        let found = match reader::read_owner(&self.ports.records).await {
+            Ok(found) => found,
+            Err(error) => {
+                tracing::debug!(%error, "the owner's record cannot be read");
+                return;
+            }
+        };
+        let now = self.ports.clock.now();
+        let Some((record, version)) = found else {
+            self.claim(0, 0).await;
+            return;
+        };
+        self.ports.directory.set_owner(OwnerHint {
+            epoch: record.epoch,
+            address: record.address,
+        });
+        let own_earlier = record.vm == self.me.vm;
+        let stood_still = match silent {
+            Some(known) if known.version == version => now.since(known.since) >= OWNER_SILENCE,
+            _ => {
+                *silent = Some(Silent {
+                    version,
+                    since: now,
+                });
+                false
+            }
+        };
+        if record.released || own_earlier || stood_still {
+            self.claim(record.epoch, version).await;
+        }
+    }
+
+    /// Tries to become the owner after the one of `epoch`.
+    async fn claim(&self, epoch: u64, version: u64) {
+        if *self.stopping.borrow() {
+            return;
+        }
+        let record = OwnerRecord {
+            vm: self.me.vm.clone(),
+            address: self.me.address,
+            started_unix_ms: self.me.started_unix_ms,
+            epoch: epoch + 1,
+            transaction: 0,
+            released: false,
+        };
+        match Ledger::claim(&self.ports.records, record, version).await {
+            Ok(Some(ledger)) => {
+                tracing::info!(epoch = ledger.owner.epoch, "this VM owns the workflows");
+                if let Err(error) = self.begin(ledger).await {
+                    tracing::error!(%error, "the records of workflows cannot be read");
+                }
+            }
+            Ok(None) => tracing::info!(epoch, "another VM was faster to follow the owner"),
+            Err(error) => tracing::warn!(%error, "the owner cannot be followed now"),
+        }
+    }
+
+    /// Takes up what is recorded and starts the owner.
+    async fn begin(&self, ledger: Ledger) -> Result<(), StoreError> {
+        let recorded = retry(|| reader::read_all(&self.ports.records)).await;
+        let listed = retry(|| self.ports.feeds.workers(None, Duration::ZERO)).await;
+        let now = self.ports.clock.now();
+        let epoch = ledger.owner.epoch;
+        let mut engine = Engine::new(self.cfg, epoch);
+        engine.set_queues(self.queues.borrow().clone());
+        for change in listed.items {
+            if let crate::port::feeds::WorkerChange::Listed(listing) = change {
+                engine.set_worker(listing, now);
+            }
+        }
+        for listing in recorded.workers {
+            engine.recall_worker(listing, now);
+        }
+        if epoch > 1 {
+            engine.begin_recovery(now);
+        }
+        let workflows = recorded.workflows.len();
+        for (id, record, progress) in recorded.workflows {
+            engine.load(id, record, &progress, now);
+        }
+        tracing::info!(epoch, workflows, "the recorded workflows are taken up");
+        let (ended, mut has_ended) = watch::channel(false);
+        let owner = Owner::new(engine, ledger, self.ports.clone(), ended);
+        let owner = Owner::spawn(owner);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(Owner::run_ticks(owner.clone()));
+        tasks.spawn(feed_workers(
+            self.ports.clone(),
+            owner.clone(),
+            listed.version,
+        ));
+        tasks.spawn(feed_handovers(
+            self.ports.clone(),
+            owner.clone(),
+            recorded.version,
+        ));
+        tasks.spawn(feed_queues(self.queues.clone(), owner.clone()));
+        *self.lock() = Some(owner);
+        self.ports.directory.set_owner(OwnerHint {
+            epoch,
+            address: self.me.address,
+        });
+        // The sender lives as long as the actor.
+        let _ = has_ended.wait_for(|ended| *ended).await;
+        tasks.shutdown().await;
+        *self.lock() = None;
+        Ok(())
+    }
+
+    /// Gives the workflows up, if this VM owns them, and asks another VM to follow.
+    pub(super) async fn stop(&self) {
+        self.stopping.send_replace(true);
+        let Some(owner) = self.owner() else {
+            return;
+        };
+        let now = self.ports.clock.now();
+        let (tx, rx) = oneshot::channel();
+        if owner.tell(Event::Release(tx)).await.is_err() {
+            return;
+        }
+        if rx.await.is_err() {
+            tracing::warn!("the owner ended before it could give the workflows up");
+        }
+        self.ask_to_follow(now).await;
+    }
+
+    /// Asks the VM that started last to follow, since planned restarts come to it last.
+    async fn ask_to_follow(&self, now: Time) {
+        let epoch = self.ports.directory.owner().map_or(0, |owner| owner.epoch);
+        let mut members = self.ports.directory.members(now);
+        members.retain(|member| member.vm != self.me.vm);
+        members.sort_by_key(|member| std::cmp::Reverse(member.started_unix_ms));
+        for member in members {
+            let request = Request::Workflow(Ask::TakeOver { epoch });
+            let reply = self
+                .ports
+                .peers
+                .call(member.address, &request, PING_TIMEOUT);
+            if matches!(reply.await, Ok(Reply::Workflow(Told::Done))) {
+                tracing::info!(vm = %member.vm, "another VM is asked to follow");
+                return;
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<ActorRef<Owner>>> {
+        self.owner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Repeats a read until it succeeds.
+async fn retry<T, F>(read: impl Fn() -> F) -> T
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    loop {
+        match read().await {
+            Ok(found) => return found,
+            Err(error) => {
+                tracing::warn!(%error, "a read of a new owner is repeated");
+                tokio::time::sleep(FEED_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn feed_workers(ports: OwnerPorts, owner: ActorRef<Owner>, version: u64) {
+    let mut version = version;
+    loop {
+        match ports.feeds.workers(Some(version), WORKERS_WAIT).await {
+            Ok(news) => {
+                version = news.version;
+                let changed = news.whole || !news.items.is_empty();
+                if changed && owner.tell(Event::Workers(news)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                tracing::warn!(%error, version, "the list of workers cannot be read");
+                tokio::time::sleep(FEED_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn feed_handovers(ports: OwnerPorts, owner: ActorRef<Owner>, version: u64) {
+    let mut version = version;
+    loop {
+        tokio::time::sleep(HANDOVERS_INTERVAL).await;
+        match reader::read_handovers(&ports.records, version).await {
+            Ok(handovers) => {
+                version = handovers.version;
+                let found = !handovers.items.is_empty();
+                if found && owner.tell(Event::HandedOver(handovers)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => tracing::warn!(%error, version, "handovers cannot be read"),
+        }
+    }
+}
+
+async fn feed_queues(mut queues: watch::Receiver<Vec<QueuePolicy>>, owner: ActorRef<Owner>) {
+    loop {
+        let current = queues.borrow_and_update().clone();
+        if owner.tell(Event::Queues(current)).await.is_err() {
+            return;
+        }
+        if queues.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/coordinator/settings.rs
@@ -0,0 +1,105 @@
+//! The settings of a coordinator's process: one TOML file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::log::check_filter;
+use crate::model::{VmName, ZoneName};
+
+/// The settings of a VM that runs workflows on the users' platform.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CoordinatorSettings {
+    /// The VM's name.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether this VM serves callers.
+    pub readiness: SocketAddr,
+    /// Where other VMs connect.
+    pub peers: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Where some of the other VMs may be reached.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The service that grants permits.
+    #[serde(default)]
+    pub permits: Option<SocketAddr>,
+    /// The longest lease that workers grant, in milliseconds.
+    pub lease_max_ms: u64,
+    /// How long a worker may take to stop a task, in milliseconds.
+    pub task_stop_ms: u64,
+    /// How long a planned stop may take before the process is killed, in seconds.
+    pub grace_s: f64,
+    /// The level of logs, in the syntax of `RUST_LOG`.
+    #[serde(default = "default_log")]
+    pub log: String,
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+/// What is wrong with the settings; all findings are reported together.
+#[derive(Debug, thiserror::Error)]
+#[error("{place}: {}", findings.join("; "))]
+pub struct SettingsError {
+    place: String,
+    findings: Vec<String>,
+}
+
+impl CoordinatorSettings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns all that is wrong with it.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let error = |findings| SettingsError {
+            place: path.display().to_string(),
+            findings,
+        };
+        let text = std::fs::read_to_string(path).map_err(|e| error(vec![e.to_string()]))?;
+        Self::parse(&text).map_err(error)
+    }
+
+    /// Reads and checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all that is wrong with it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutlug::coordinator::settings::CoordinatorSettings;
+    ///
+    /// let findings = CoordinatorSettings::parse("vm = 1").unwrap_err();
+    /// assert!(!findings.is_empty());
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<String>> {
+        let settings: Self = toml::from_str(text).map_err(|e| vec![e.to_string()])?;
+        let mut findings = Vec::new();
+        if settings.lease_max_ms == 0 {
+            findings.push("`lease_max_ms` must be above 0".to_owned());
+        }
+        if settings.grace_s.is_nan() || settings.grace_s <= 0.0 {
+            findings.push("`grace_s` must be above 0".to_owned());
+        }
+        if let Err(error) = check_filter(&settings.log) {
+            findings.push(format!("`log`: {error}"));
+        }
+        if findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(findings)
+        }
+    }
+}
--- a/src/log.rs
+++ b/src/log.rs
@@ -3,6 +3,7 @@
 use std::io::IsTerminal;
 
 use tracing::Subscriber;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -69,6 +70,27 @@
     Ok(handle)
 }
 
+/// The most log lines that wait to be written; more are dropped, so that logs never block.
+const MAX_WAITING_LINES: usize = 8_192;
+
+/// Sends logs of this process to standard output as JSON lines, written by a thread of their own.
+///
+/// The returned guard writes what waits when it is dropped.
+///
+/// # Errors
+///
+/// Returns an error where `level` is not understood or logs were already set up.
+pub fn init_json(level: &str) -> Result<WorkerGuard> {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(MAX_WAITING_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    let (subscriber, _) = subscriber(level, true, writer)?;
+    let initialised = subscriber.try_init();
+    initialised.map_err(|error| Error::Other(error.to_string()))?;
+    Ok(guard)
+}
+
 /// Builds what [`init`] sets up, with the lines going to `writer`.
 ///
 /// # Errors
--- a/src/message.rs
+++ b/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordinator::message::{Ask, Told};
 use crate::error::Refusal;
 use crate::model::{
     BackendName, JobId, JobSpec, JobView, ServiceName, ShardName, VmName, ZoneName,
@@ -9,7 +10,7 @@
 use crate::shard::record::{KeyUse, TaskRow};
 
 /// The version of the messages; a process rejects other versions.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// A request, with the version of the messages.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -201,6 +202,8 @@
         /// What is asked.
         call: PartCall,
     },
+    /// Asks about workflows.
+    Workflow(Ask),
 }
 
 /// A reply to a [`Request`].
@@ -233,4 +236,6 @@
     Refused(Refusal),
     /// How a reservation stands.
     Part(PartReply),
+    /// An answer about workflows.
+    Workflow(Told),
 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -72,6 +72,10 @@
     /// A rack.
     RackName
 );
+name!(
+    /// A queue that takes workflows.
+    QueueName
+);
 name!(
     /// A shard: a set of workers, or the backend servers of a service, with one owner at a time.
     ShardName
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -50,6 +50,10 @@
             }
             Request::Config { above } => Reply::Config(self.shared.config.above(above)),
             Request::Status => self.status().await,
+            Request::Workflow(_) => {
+                let reason = "this process does not run workflows";
+                Reply::Refused(Refusal::not_run("no_workflows", reason))
+            }
         }
     }
 }
--- /dev/null
+++ b/src/platform/records.rs
@@ -0,0 +1,187 @@
+//! The platform's store as the port of records.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+
+use super::http;
+use super::wire;
+use crate::adapter::http::{Answer, HttpClient, HttpError};
+use crate::port::BoxFuture;
+use crate::port::records::{
+    Record, RecordKey, Records, StoreCall, StoreError, StoreReply, Transaction,
+};
+
+/// Connections to the store: waiting reads of two feeds, and calls beside them.
+const MAX_CONNECTIONS: usize = 8;
+
+/// The store over HTTP.
+pub struct PlatformRecords {
+    client: HttpClient,
+}
+
+impl PlatformRecords {
+    /// The store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: HttpClient::new(address, MAX_CONNECTIONS),
+        }
+    }
+
+    async fn make(&self, call: &StoreCall, timeout: Duration) -> Result<StoreReply, StoreError> {
+        match call {
+            StoreCall::Commit(transaction) => self.commit(transaction, timeout).await,
+            StoreCall::Scan {
+                table,
+                partition,
+                from,
+                to,
+                limit,
+            } => {
+                let mut path = format!(
+                    "/chestnutlug/rows-get?Table={table}&part={partition}&From={from}&Limit={limit}"
+                );
+                if let Some(to) = to {
+                    path.push_str("&To=");
+                    path.push_str(to);
+                }
+                self.read(&path, timeout).await
+            }
+            StoreCall::Changes {
+                table,
+                after,
+                wait_ms,
+            } => {
+                let path =
+                    format!("/chestnutlug/rows-feed?Table={table}&After={after}&WaitMs={wait_ms}");
+                let timeout = timeout + Duration::from_millis(u64::from(*wait_ms));
+                self.read(&path, timeout).await
+            }
+        }
+    }
+
+    async fn commit(
+        &self,
+        transaction: &Transaction,
+        timeout: Duration,
+    ) -> Result<StoreReply, StoreError> {
+        let expected = transaction.expected.iter();
+        let puts = transaction.puts.iter();
+        let body = wire::RowsTx {
+            expect_rev: expected
+                .map(|(key, version)| row(key, None, Some(*version)))
+                .collect(),
+            puts: puts
+                .map(|(key, value)| row(key, Some(value), None))
+                .collect(),
+            remove: transaction
+                .removals
+                .iter()
+                .map(|key| row(key, None, None))
+                .collect(),
+        };
+        let sent = http::post(&self.client, "/chestnutlug/rows-tx", &[], &body, timeout).await;
+        let answer = sent.map_err(failed)?;
+        match answer.status {
+            StatusCode::OK => {
+                let rows = decode(&answer)?;
+                Ok(StoreReply::Committed { version: rows.ver })
+            }
+            StatusCode::PRECONDITION_FAILED => {
+                let rows = decode(&answer)?;
+                let records = records(rows.rows)?;
+                Ok(StoreReply::Conflict { records })
+            }
+            status => Err(refused(status, &answer)),
+        }
+    }
+
+    async fn read(&self, path: &str, timeout: Duration) -> Result<StoreReply, StoreError> {
+        let sent = self
+            .client
+            .call(Method::GET, path, Bytes::new(), timeout)
+            .await;
+        let answer = sent.map_err(failed)?;
+        match answer.status {
+            StatusCode::OK => {
+                let rows = decode(&answer)?;
+                Ok(StoreReply::Records {
+                    truncated: rows.truncated,
+                    version: rows.ver,
+                    records: records(rows.rows)?,
+                })
+            }
+            StatusCode::GONE => Ok(StoreReply::HistoryGone),
+            status => Err(refused(status, &answer)),
+        }
+    }
+}
+
+impl Records for PlatformRecords {
+    fn call<'a>(
+        &'a self,
+        call: &'a StoreCall,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<StoreReply, StoreError>> {
+        Box::pin(self.make(call, timeout))
+    }
+}
+
+fn row(key: &RecordKey, value: Option<&[u8]>, version: Option<u64>) -> wire::Row {
+    wire::Row {
+        table: key.table.clone(),
+        part: key.partition.clone(),
+        key: key.key.clone(),
+        value: value.map(|value| BASE64_STANDARD.encode(value)),
+        ver: version,
+        deleted: false,
+    }
+}
+
+fn records(rows: Vec<wire::Row>) -> Result<Vec<Record>, StoreError> {
+    rows.into_iter().map(record).collect()
+}
+
+fn record(row: wire::Row) -> Result<Record, StoreError> {
+    let unreadable = |error: base64::DecodeError| {
+        StoreError::Rejected(format!("the value of {} is no base64: {error}", row.key))
+    };
+    let value = match (&row.value, row.deleted) {
+        (Some(value), false) => Some(BASE64_STANDARD.decode(value).map_err(unreadable)?),
+        _ => None,
+    };
+    Ok(Record {
+        key: RecordKey::new(&row.table, &row.part, row.key),
+        value,
+        version: row.ver.unwrap_or(0),
+    })
+}
+
+fn decode(answer: &Answer) -> Result<wire::Rows, StoreError> {
+    serde_json::from_slice(&answer.body)
+        .map_err(|error| StoreError::Unknown(format!("the answer cannot be read: {error}")))
+}
+
+fn failed(error: HttpError) -> StoreError {
+    match error {
+        HttpError::NotSent(reason) => StoreError::NotDone(reason),
+        HttpError::NoAnswer(reason) => StoreError::Unknown(reason),
+    }
+}
+
+/// What a status says: some mean that nothing was done, some that nothing will do.
+fn refused(status: StatusCode, answer: &Answer) -> StoreError {
+    let text = String::from_utf8_lossy(&answer.body);
+    let reason = format!("{status}: {}", text.chars().take(200).collect::<String>());
+    match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            StoreError::NotDone(reason)
+        }
+        status if status.is_client_error() => StoreError::Rejected(reason),
+        _ => StoreError::Unknown(reason),
+    }
+}
--- /dev/null
+++ b/src/platform/servers.rs
@@ -0,0 +1,41 @@
+//! What workers say of themselves in the store.
+
+use super::wire;
+use crate::model::{Resources, ServiceName, WorkerName, ZoneName};
+use crate::port::executor::WorkerListing;
+
+/// Why a row names no worker to use.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ListingError {
+    #[error("the row cannot be read: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("the address cannot be read: {0}")]
+    Address(#[from] std::net::AddrParseError),
+    #[error("the state is not known: {0}")]
+    State(String),
+}
+
+/// Reads the row of the worker `id`.
+pub(super) fn listing(id: &str, value: &[u8]) -> Result<WorkerListing, ListingError> {
+    let server: wire::Server = serde_json::from_slice(value)?;
+    let draining = match server.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        state => return Err(ListingError::State(state.to_owned())),
+    };
+    Ok(WorkerListing {
+        name: WorkerName::new(id),
+        address: server.addr.parse()?,
+        service: ServiceName::new(&server.service),
+        zone: ZoneName::new(&server.zone),
+        rack: server.labels.get(1).cloned(),
+        labels: server.labels,
+        capacity: Resources {
+            cpu_milli: server.capacity.cpu,
+            memory_mib: server.capacity.mem_mb,
+            accelerators: server.capacity.gpu,
+        },
+        draining,
+        boot: server.born,
+    })
+}
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,255 @@
+//! Bodies on the platform's interfaces, named as on the wire.
+
+use serde::{Deserialize, Serialize};
+
+/// A row of the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Row {
+    #[serde(default)]
+    pub(super) table: String,
+    /// The partition; in lower case on the wire.
+    #[serde(rename = "part", default)]
+    pub(super) part: String,
+    #[serde(default)]
+    pub(super) key: String,
+    /// Base64; absent in conditions and removals.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) value: Option<String>,
+    /// In conditions the version that the row must have, in answers the one that it has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) ver: Option<u64>,
+    #[serde(default, skip_serializing)]
+    pub(super) deleted: bool,
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RowsTx {
+    /// The conditions, although the name speaks of a revision.
+    pub(super) expect_rev: Vec<Row>,
+    pub(super) puts: Vec<Row>,
+    pub(super) remove: Vec<Row>,
+}
+
+/// An answer with rows.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Rows {
+    #[serde(rename = "rows", default)]
+    pub(super) rows: Vec<Row>,
+    #[serde(default)]
+    pub(super) truncated: bool,
+    /// The newest version of the whole store.
+    #[serde(default)]
+    pub(super) ver: u64,
+}
+
+/// A start.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RunStart<'a> {
+    pub(super) task: String,
+    pub(super) run_id: u32,
+    /// What the task is told, although the name speaks of a specification.
+    pub(super) spec: &'a str,
+    /// The end of the lease of everything on the worker, on its clock.
+    pub(super) deadline_ms: u64,
+    pub(super) fence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) checkpoint: Option<&'a str>,
+    /// The permit for the step.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) ticket: Option<&'a str>,
+}
+
+/// A stop.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RunStop {
+    pub(super) task: String,
+    pub(super) run_id: u32,
+    pub(super) fence: u64,
+}
+
+/// A look.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Hold {
+    pub(super) fence: u64,
+    /// The end up to which all are recorded, not merely seen.
+    pub(super) last_seen: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) deadline_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) wait_ms: Option<u32>,
+}
+
+/// The answer to an order.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(super) struct OrderAnswer {
+    pub(super) clock_ms: u64,
+    pub(super) reason: String,
+}
+
+/// The answer to a look. The lists hold rows whose length may grow, so they are read by position.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(super) struct HoldAnswer {
+    pub(super) clock_ms: u64,
+    /// When the worker's process started, in milliseconds since 1970.
+    #[serde(rename = "born")]
+    pub(super) born: u64,
+    /// Task, run, checkpoint, percent, and a figure of the last half second.
+    pub(super) running: Vec<Vec<serde_json::Value>>,
+    /// Number, task, run, how it ended, checkpoint.
+    pub(super) ended: Vec<Vec<serde_json::Value>>,
+}
+
+/// What a worker or a machine holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(super) struct Capacity {
+    /// Thousandths of a core.
+    pub(super) cpu: u32,
+    pub(super) mem_mb: u32,
+    pub(super) gpu: u32,
+}
+
+/// What a worker says of itself in the store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Server {
+    pub(super) service: String,
+    pub(super) addr: String,
+    pub(super) zone: String,
+    pub(super) state: String,
+    pub(super) capacity: Capacity,
+    /// The worker's kind, then its rack.
+    #[serde(default)]
+    pub(super) labels: Vec<String>,
+    /// When its process started, in milliseconds since 1970.
+    #[serde(rename = "born", default)]
+    pub(super) born: u64,
+}
+
+/// A question about permits.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Advise<'a> {
+    /// The step; its name here differs from that in specifications.
+    pub(super) phase: String,
+    pub(super) workers: Vec<&'a str>,
+}
+
+/// The answer: rows of a worker and its permit.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Advised {
+    pub(super) granted: Vec<(String, String)>,
+    pub(super) valid_ms: f64,
+}
+
+/// What permits cost on a queue.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RouteAdvice {
+    pub(super) decide_ms: f64,
+    /// The time for each worker named, although the name speaks of a period.
+    pub(super) period_ms: f64,
+}
+
+/// A queue in the operators' configuration.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Route {
+    pub(super) name: String,
+    pub(super) host: String,
+    pub(super) prefix: String,
+    pub(super) service: String,
+    #[serde(default)]
+    pub(super) priority: u8,
+    #[serde(default)]
+    pub(super) attempts: u32,
+    #[serde(default)]
+    pub(super) slack_factor: f64,
+    #[serde(default)]
+    pub(super) slo_ms: f64,
+    #[serde(default)]
+    pub(super) advice: Option<RouteAdvice>,
+}
+
+/// Limits of what callers send.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(super) struct CallerLimits {
+    pub(super) max_body_bytes: Option<usize>,
+}
+
+/// The operators' configuration.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Config {
+    pub(super) version: u64,
+    #[serde(default)]
+    pub(super) routes: Vec<Route>,
+    #[serde(default)]
+    pub(super) limits: CallerLimits,
+}
+
+/// A step of a submission. Fields that are 0, false or empty are left out on the wire.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(super) struct Phase {
+    pub(super) count: u32,
+    /// Thousandths of a core.
+    pub(super) cpu: u32,
+    pub(super) mem_mb: u32,
+    pub(super) gpu: u32,
+    pub(super) est_ms: u32,
+    pub(super) after: Vec<u32>,
+    pub(super) checkpointing: bool,
+    pub(super) gang: bool,
+    pub(super) same_rack: bool,
+    pub(super) requires: Option<String>,
+    /// The rack that holds the data.
+    pub(super) affinity: Option<String>,
+    pub(super) anti_affinity: Option<u32>,
+    pub(super) speculative: bool,
+    pub(super) long_running: bool,
+    pub(super) fills: bool,
+    /// How many tasks may be away by the scheduler's doing.
+    pub(super) lossy: u32,
+}
+
+/// A submission.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Submission {
+    #[serde(default)]
+    pub(super) spec: String,
+    pub(super) phases: Vec<Phase>,
+    /// Occurrences; 0 for a submission that runs once.
+    #[serde(default)]
+    pub(super) repeat_count: u32,
+    #[serde(default)]
+    pub(super) first_run_ms: u64,
+    #[serde(default)]
+    pub(super) interval_ms: u64,
+}
+
+/// A submission's state.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct State {
+    pub(super) state: &'static str,
+}
+
+/// How many submissions have started nothing.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Pending {
+    pub(super) pending: u64,
+}
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -3,8 +3,12 @@
 use std::future::Future;
 use std::pin::Pin;
 
+pub mod executor;
+pub mod feeds;
 pub mod objects;
 pub mod peer;
+pub mod permits;
+pub mod records;
 pub mod table;
 pub mod vms;
 pub mod worker;
--- /dev/null
+++ b/src/workflow/engine/commit.rs
@@ -0,0 +1,211 @@
+//! What has to be recorded, and what follows once it is.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use super::{Effect, Engine, Token};
+use crate::port::executor::WorkerListing;
+use crate::workflow::fleet::WorkerKey;
+use crate::workflow::record::{Progress, WorkflowRecord, WorkflowState};
+use crate::workflow::spec::WorkflowId;
+
+/// Ends of a worker that are taken note of once a batch is recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndsMark {
+    worker: WorkerKey,
+    boot: u64,
+    number: u64,
+}
+
+/// Changes that are recorded together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// Workflows that are new; a record that exists already is left as it is.
+    pub added: Vec<(WorkflowId, WorkflowRecord)>,
+    /// Progress to write.
+    pub progress: Vec<(WorkflowId, Progress)>,
+    /// Workflows that have ended: their record is replaced, their progress removed.
+    pub ended: Vec<(WorkflowId, WorkflowState)>,
+    /// All workers that tasks may run on, where that changed.
+    pub workers: Option<Vec<WorkerListing>>,
+    marks: Vec<EndsMark>,
+}
+
+impl Batch {
+    /// Whether there is nothing to record.
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty()
+            && self.progress.is_empty()
+            && self.ended.is_empty()
+            && self.workers.is_none()
+    }
+}
+
+/// What is not recorded yet.
+#[derive(Debug, Default)]
+pub(super) struct Journal {
+    added: VecDeque<WorkflowId>,
+    touched: HashSet<WorkflowId>,
+    submitters: HashMap<WorkflowId, Vec<Token>>,
+    cancellers: HashMap<WorkflowId, Vec<Token>>,
+    workers_changed: bool,
+    in_flight: bool,
+}
+
+impl Journal {
+    pub(super) fn add(&mut self, id: WorkflowId, token: Token) {
+        self.added.push_back(id);
+        self.wait_for_record(id, token);
+    }
+
+    pub(super) fn wait_for_record(&mut self, id: WorkflowId, token: Token) {
+        self.submitters.entry(id).or_default().push(token);
+    }
+
+    pub(super) fn wait_for_end(&mut self, id: WorkflowId, token: Token) {
+        self.cancellers.entry(id).or_default().push(token);
+    }
+
+    pub(super) fn touch(&mut self, id: WorkflowId) {
+        self.touched.insert(id);
+    }
+
+    pub(super) fn workers_changed(&mut self) {
+        self.workers_changed = true;
+    }
+
+    /// Takes the new workflows that no batch holds yet, with who waits for them.
+    pub(super) fn take_unsent(&mut self) -> Vec<(WorkflowId, Vec<Token>)> {
+        let unsent: Vec<WorkflowId> = self.added.drain(..).collect();
+        let tokens = |id| (id, self.submitters.remove(&id).unwrap_or_default());
+        unsent.into_iter().map(tokens).collect()
+    }
+}
+
+impl Engine {
+    /// Whether something waits to be recorded.
+    pub fn has_changes(&self) -> bool {
+        let journal = &self.journal;
+        !journal.added.is_empty() || !journal.touched.is_empty() || journal.workers_changed
+    }
+
+    /// Takes up to about `most` changes to record together, unless a batch is under way.
+    pub fn take_batch(&mut self, most: usize) -> Option<Batch> {
+        if self.journal.in_flight || !self.has_changes() {
+            return None;
+        }
+        let mut batch = Batch::default();
+        if std::mem::take(&mut self.journal.workers_changed) {
+            let workers = self.fleet.iter().map(|(_, worker)| worker.listing.clone());
+            batch.workers = Some(workers.collect());
+        }
+        self.take_touched(&mut batch, most);
+        self.take_added(&mut batch, most);
+        if batch.is_empty() {
+            return None;
+        }
+        if self.journal.touched.is_empty() {
+            batch.marks = self.marks();
+        }
+        self.journal.in_flight = true;
+        Some(batch)
+    }
+
+    fn take_touched(&mut self, batch: &mut Batch, most: usize) {
+        let touched: Vec<WorkflowId> = self.journal.touched.iter().copied().collect();
+        for id in touched.into_iter().take(most) {
+            // A workflow whose own record is not written yet waits for that.
+            let Some(active) = self.active.get(&id) else {
+                self.journal.touched.remove(&id);
+                continue;
+            };
+            if !active.recorded {
+                continue;
+            }
+            self.journal.touched.remove(&id);
+            match active.end() {
+                Some(state) => batch.ended.push((id, state)),
+                None => batch.progress.push((id, active.progress())),
+            }
+        }
+    }
+
+    fn take_added(&mut self, batch: &mut Batch, most: usize) {
+        let room = most.saturating_sub(batch.progress.len() + batch.ended.len());
+        while batch.added.len() < room {
+            let Some(id) = self.journal.added.pop_front() else {
+                return;
+            };
+            if let Some(active) = self.active.get(&id) {
+                let record = WorkflowRecord::Active(active.spec.as_ref().clone());
+                batch.added.push((id, record));
+            }
+        }
+    }
+
+    /// Up to which end each worker may forget once all changes so far are recorded.
+    fn marks(&self) -> Vec<EndsMark> {
+        let workers = self.fleet.iter();
+        workers
+            .filter(|(_, worker)| worker.seen_end > worker.recorded_end)
+            .map(|(key, worker)| EndsMark {
+                worker: key,
+                boot: worker.listing.boot,
+                number: worker.seen_end,
+            })
+            .collect()
+    }
+
+    /// Lets workers forget the ends that changed nothing, where nothing waits to be recorded.
+    pub(super) fn mark_unchanged(&mut self) {
+        if !self.journal.in_flight && self.journal.touched.is_empty() {
+            let marks = self.marks();
+            self.acknowledge(&marks);
+        }
+    }
+
+    fn acknowledge(&mut self, marks: &[EndsMark]) {
+        for mark in marks {
+            let worker = self.fleet.get_mut(mark.worker);
+            let same = worker.filter(|worker| worker.listing.boot == mark.boot);
+            if let Some(worker) = same {
+                worker.recorded_end = worker.recorded_end.max(mark.number);
+            }
+        }
+    }
+
+    /// Notes that the batch is recorded. `existing` are the new workflows that had a record before.
+    pub fn committed(&mut self, batch: &Batch, existing: &[(WorkflowId, WorkflowRecord)]) {
+        self.journal.in_flight = false;
+        for (id, _) in &batch.added {
+            self.recorded(*id, existing);
+        }
+        for (id, state) in &batch.ended {
+            self.set_ended(*id, *state);
+            self.tell_cancelled(*id);
+        }
+        if batch.workers.is_some() {
+            self.place_due = true;
+        }
+        self.acknowledge(&batch.marks);
+    }
+
+    fn recorded(&mut self, id: WorkflowId, existing: &[(WorkflowId, WorkflowRecord)]) {
+        let before = existing.iter().find(|(known, _)| *known == id);
+        if let Some((_, WorkflowRecord::Ended(state))) = before {
+            self.set_ended(id, *state);
+        } else if let Some(active) = self.active.get_mut(&id) {
+            active.recorded = true;
+        }
+        let tokens = self.journal.submitters.remove(&id).unwrap_or_default();
+        self.effects
+            .extend(tokens.into_iter().map(Effect::Accepted));
+        self.queue_steps(id);
+        self.place_due = true;
+    }
+
+    fn tell_cancelled(&mut self, id: WorkflowId) {
+        let tokens = self.journal.cancellers.remove(&id).unwrap_or_default();
+        self.effects
+            .extend(tokens.into_iter().map(Effect::Cancelled));
+    }
+}
--- /dev/null
+++ b/src/workflow/engine/intake.rs
@@ -0,0 +1,260 @@
+//! Submissions, cancellations, what is read from the store, and occurrences.
+
+use std::time::Duration;
+
+use super::{Effect, Engine, Recovery, Token};
+use crate::model::Time;
+use crate::workflow::active::Active;
+use crate::workflow::fleet::{WorkerKey, as_millis};
+use crate::workflow::record::{Progress, WorkflowRecord, WorkflowState};
+use crate::workflow::spec::{StepId, WorkflowId, WorkflowSpec};
+
+/// Added to the longest lease of an earlier owner, in percent, for slow clocks of workers.
+const RECOVERY_MARGIN_PERCENT: u64 = 5;
+
+/// What became of a submission at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// It is recorded already.
+    Accepted,
+    /// The answer comes as an effect, once it is recorded or refused.
+    Waits,
+}
+
+/// What became of a cancellation at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelling {
+    /// The workflow has ended, or its cancellation is recorded already.
+    Ended,
+    /// The answer comes as an effect, once it is recorded.
+    Waits,
+    /// No such workflow is known here.
+    Unknown,
+}
+
+impl Engine {
+    /// Takes a workflow; one that is known already stays as it is.
+    pub fn submit(
+        &mut self,
+        id: WorkflowId,
+        spec: WorkflowSpec,
+        token: Token,
+        now: Time,
+    ) -> Submission {
+        if self.ended.contains_key(&id) {
+            return Submission::Accepted;
+        }
+        if let Some(active) = self.active.get(&id) {
+            if active.recorded {
+                return Submission::Accepted;
+            }
+            self.journal.wait_for_record(id, token);
+            return Submission::Waits;
+        }
+        self.add(id, spec, &Progress::default(), now);
+        self.journal.add(id, token);
+        // Permits are asked for while the record is being written.
+        self.queue_steps(id);
+        Submission::Waits
+    }
+
+    /// Cancels a workflow; nothing of it starts from now on. `token` is answered once that is
+    /// recorded.
+    pub fn cancel(&mut self, id: WorkflowId, token: Option<Token>, now: Time) -> Cancelling {
+        if self.ended.contains_key(&id) {
+            return Cancelling::Ended;
+        }
+        let Some(active) = self.active.get_mut(&id) else {
+            return Cancelling::Unknown;
+        };
+        if active.end().is_none() {
+            active.cancelled = true;
+            self.wind_down(id, now);
+        }
+        self.journal.touch(id);
+        if let Some(token) = token {
+            self.journal.wait_for_end(id, token);
+        }
+        Cancelling::Waits
+    }
+
+    /// Refuses the submissions whose record has not been sent to the store, since it does not answer.
+    pub fn refuse_unsent(&mut self) {
+        for (id, tokens) in self.journal.take_unsent() {
+            self.forget(id);
+            self.effects.extend(tokens.into_iter().map(Effect::Refused));
+        }
+    }
+
+    /// Takes up a workflow that the store holds.
+    pub fn load(&mut self, id: WorkflowId, record: WorkflowRecord, progress: &Progress, now: Time) {
+        match record {
+            WorkflowRecord::Ended(state) => {
+                if !self.active.contains_key(&id) {
+                    self.ended.insert(id, state);
+                }
+            }
+            WorkflowRecord::Active(spec) => self.load_active(id, spec, progress, now),
+        }
+    }
+
+    fn load_active(&mut self, id: WorkflowId, spec: WorkflowSpec, progress: &Progress, now: Time) {
+        if self.ended.contains_key(&id) {
+            return;
+        }
+        if let Some(active) = self.active.get_mut(&id) {
+            active.recorded = true;
+            return;
+        }
+        self.add(id, spec, progress, now);
+        if let Some(active) = self.active.get_mut(&id) {
+            active.recorded = true;
+            active.inherited = self.recovery.is_some();
+            active.cancelled = progress.cancelled;
+            active.failed = progress.failed;
+            if active.end().is_some() {
+                self.journal.touch(id);
+            }
+        }
+        self.queue_steps(id);
+    }
+
+    /// Begins the recovery of what an earlier owner left; to be called before workflows are loaded.
+    pub fn begin_recovery(&mut self, now: Time) {
+        let lease = self.cfg.lease_ms;
+        let longest = lease + lease * RECOVERY_MARGIN_PERCENT / 100;
+        let waiting = self.fleet.keys().into_iter().collect();
+        self.recovery = Some(Recovery {
+            waiting,
+            until: now + Duration::from_millis(longest),
+        });
+    }
+
+    /// Whether the recovery has ended.
+    pub fn has_recovered(&self) -> bool {
+        self.recovery.is_none()
+    }
+
+    /// Notes that what runs on the worker is known.
+    pub(super) fn recovered(&mut self, worker: WorkerKey) {
+        if let Some(recovery) = &mut self.recovery {
+            recovery.waiting.remove(&worker);
+        }
+    }
+
+    pub(super) fn end_recovery(&mut self, now: Time) {
+        let Some(recovery) = &self.recovery else {
+            return;
+        };
+        if !recovery.waiting.is_empty() && now < recovery.until {
+            return;
+        }
+        tracing::info!(
+            unanswered = recovery.waiting.len(),
+            workflows = self.active.len(),
+            time_left_ms = as_millis(recovery.until.since(now)),
+            "what an earlier owner started is known"
+        );
+        self.recovery = None;
+        for active in self.active.values_mut() {
+            active.inherited = false;
+        }
+        self.stop_broken_gangs(now);
+        self.place_due = true;
+    }
+
+    /// Stops the gangs of which only some members run, as their owner was lost while it started them.
+    fn stop_broken_gangs(&mut self, now: Time) {
+        let mut broken = Vec::new();
+        for (id, active) in &self.active {
+            for ((occurrence, step), run) in &active.steps {
+                let gang = active.spec.steps.get(*step as usize);
+                let placed = run.placed();
+                let part = !placed.is_empty() && run.waiting().next().is_some();
+                if part && gang.is_some_and(|spec| spec.gang) {
+                    let step = StepId {
+                        workflow: *id,
+                        occurrence: *occurrence,
+                        step: *step,
+                    };
+                    broken.extend(placed.into_iter().map(|at| (step, at)));
+                }
+            }
+        }
+        for (step, (index, worker, run)) in broken {
+            self.stop_run(worker, step.task(index), run, now);
+        }
+    }
+
+    fn add(&mut self, id: WorkflowId, spec: WorkflowSpec, progress: &Progress, now: Time) {
+        let policy = self.queues.get(&spec.queue);
+        let mut active = Active::new(spec, policy, now);
+        match active.spec.recurrence {
+            None => active.begin_occurrence(progress, now),
+            Some(_) => {
+                // Occurrences with progress were due before.
+                let begun = progress
+                    .steps
+                    .iter()
+                    .map(|((occurrence, _), _)| occurrence + 1);
+                for _ in 0..begun.max().unwrap_or(0) {
+                    active.begin_occurrence(progress, now);
+                }
+            }
+        }
+        active.started = progress.steps.iter().any(|(_, step)| !step.done.is_empty());
+        self.active.insert(id, active);
+    }
+
+    /// Drops a workflow that was never recorded.
+    fn forget(&mut self, id: WorkflowId) {
+        self.unqueue(id);
+        self.active.remove(&id);
+    }
+
+    /// Takes all steps of a workflow from the queue.
+    pub(super) fn unqueue(&mut self, id: WorkflowId) {
+        let Some(active) = self.active.get(&id) else {
+            return;
+        };
+        let steps: Vec<(u32, u32)> = active.steps.keys().copied().collect();
+        for (occurrence, step) in steps {
+            let step = StepId {
+                workflow: id,
+                occurrence,
+                step,
+            };
+            if let Some(key) = self.ready_key(step) {
+                self.ready.remove(&key);
+            }
+        }
+    }
+
+    /// Begins the occurrences of recurring workflows that have come due.
+    pub(super) fn begin_occurrences(&mut self, now: Time, unix_ms: u64) {
+        let mut begun = Vec::new();
+        for (id, active) in &mut self.active {
+            let Some(recurrence) = active.spec.recurrence else {
+                continue;
+            };
+            while active.recorded && active.occurrences < recurrence.times && !active.is_over() {
+                let passed = u64::from(active.occurrences) * recurrence.interval_ms;
+                if recurrence.first_unix_ms + passed > unix_ms {
+                    break;
+                }
+                active.begin_occurrence(&Progress::default(), now);
+                begun.push(*id);
+            }
+        }
+        for id in begun {
+            self.queue_steps(id);
+        }
+    }
+
+    /// The end of a workflow as recorded, for a workflow that has one.
+    pub(super) fn set_ended(&mut self, id: WorkflowId, state: WorkflowState) {
+        self.unqueue(id);
+        self.active.remove(&id);
+        self.ended.insert(id, state);
+    }
+}
--- /dev/null
+++ b/src/workflow/engine/mod.rs
@@ -0,0 +1,269 @@
+//! Decides what of the workflows of one service runs on which worker.
+//!
+//! The engine is told what happens and answers with effects. It does no input or output and reads no
+//! clock. What it knows of running tasks comes from the workers' own lists, so a start needs no
+//! record in the store: a new owner raises the fence at each worker, learns from its lists what runs,
+//! and starts nothing that an earlier owner may have started before each worker has answered or its
+//! lease is over.
+
+mod asks;
+mod commit;
+mod ends;
+mod intake;
+mod looks;
+mod orders;
+mod place;
+mod workers;
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+use self::commit::Journal;
+use super::active::Active;
+use super::fleet::{Fleet, WorkerKey};
+use super::policy::{EngineConfig, QueuePolicy};
+use super::record::WorkflowState;
+use super::spec::{StepId, TaskId, WorkflowId};
+use crate::model::{QueueName, Time, WorkerName};
+use crate::port::executor::{LookOrder, StartOrder, WorkerTarget};
+
+pub use self::commit::{Batch, EndsMark};
+pub use self::intake::{Cancelling, Submission};
+
+/// Runs of a task by one owner; the first run of the next owner is numbered above them.
+const RUNS_PER_OWNER: u64 = 1_000;
+
+/// Steps that wait are tried at least so often, since pauses of tasks and workers end by themselves.
+const ROUND: Duration = Duration::from_millis(50);
+
+/// Names who waits for an answer of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Token(pub u64);
+
+/// What the engine wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Ask a worker what runs and has ended, and feed the answer to [`Engine::looked`].
+    Look {
+        /// The worker.
+        worker: WorkerKey,
+        /// The process that it is for.
+        target: WorkerTarget,
+        /// The order.
+        order: LookOrder,
+    },
+    /// Start a task, and feed the answer to [`Engine::start_answered`].
+    Start {
+        /// The worker.
+        worker: WorkerKey,
+        /// The process that it is for.
+        target: WorkerTarget,
+        /// The order.
+        order: StartOrder,
+    },
+    /// Stop a task, and feed the answer to [`Engine::stop_answered`].
+    Stop {
+        /// The worker.
+        worker: WorkerKey,
+        /// The process that it is for.
+        target: WorkerTarget,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// Ask which workers may run a step, and feed the answer to [`Engine::permits_answered`].
+    Ask {
+        /// The step.
+        step: StepId,
+        /// The workers to ask about.
+        workers: Vec<WorkerName>,
+        /// How long the question takes, in milliseconds.
+        takes_ms: u64,
+        /// The priority of the queue; 0 is the most urgent.
+        priority: u8,
+    },
+    /// Tell a submitter that its workflow is accepted and recorded.
+    Accepted(Token),
+    /// Tell a submitter that its workflow was not accepted and never runs.
+    Refused(Token),
+    /// Tell a caller that its workflow is cancelled and that this is recorded.
+    Cancelled(Token),
+}
+
+/// The order in which steps are placed: by priority, then by the time when they are late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReadyKey {
+    priority: u8,
+    due: Time,
+    step: StepId,
+}
+
+/// Waits until nothing that an earlier owner started can be unknown.
+#[derive(Clone, Debug)]
+struct Recovery {
+    /// Workers that have not answered yet.
+    waiting: HashSet<WorkerKey>,
+    /// When each lease of the earlier owner is over.
+    until: Time,
+}
+
+/// The engine.
+#[derive(Debug)]
+pub struct Engine {
+    cfg: EngineConfig,
+    fence: u64,
+    fleet: Fleet,
+    queues: HashMap<QueueName, QueuePolicy>,
+    active: HashMap<WorkflowId, Active>,
+    ended: HashMap<WorkflowId, WorkflowState>,
+    ready: BTreeSet<ReadyKey>,
+    recovery: Option<Recovery>,
+    journal: Journal,
+    /// Questions about permits that are under way.
+    asking: usize,
+    /// How many questions may be under way at once.
+    max_asking: usize,
+    /// The share of workers that were granted, by queue.
+    granted_share: HashMap<QueueName, f64>,
+    /// Whether something changed that may let a task start.
+    place_due: bool,
+    /// When steps are placed at the latest, for pauses that end.
+    next_round: Time,
+    overtaken: bool,
+    effects: Vec<Effect>,
+}
+
+impl Engine {
+    /// An engine for the owner with the fencing token `fence`, which grows from owner to owner and
+    /// begins at 1.
+    pub fn new(cfg: EngineConfig, fence: u64) -> Self {
+        Self {
+            cfg,
+            fence,
+            fleet: Fleet::default(),
+            queues: HashMap::new(),
+            active: HashMap::new(),
+            ended: HashMap::new(),
+            ready: BTreeSet::new(),
+            recovery: None,
+            journal: Journal::default(),
+            asking: 0,
+            max_asking: 1,
+            granted_share: HashMap::new(),
+            place_due: false,
+            next_round: Time::default(),
+            overtaken: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Whether a worker has seen the fence of a later owner.
+    pub fn is_overtaken(&self) -> bool {
+        self.overtaken
+    }
+
+    /// Takes the effects that have come up.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Says how many VMs can ask for permits.
+    pub fn set_askers(&mut self, vms: usize) {
+        /// One question under way and one that waits, so that no VM idles between two.
+        const QUESTIONS_PER_VM: usize = 2;
+        self.max_asking = vms.max(1) * QUESTIONS_PER_VM;
+    }
+
+    /// Takes up the queues of a configuration.
+    pub fn set_queues(&mut self, queues: Vec<QueuePolicy>) {
+        let queues = queues.into_iter().map(|queue| (queue.name.clone(), queue));
+        self.queues = queues.collect();
+        self.place_due = true;
+    }
+
+    /// How a workflow stands, as recorded; `None` where it is not known here.
+    pub fn state(&self, id: WorkflowId) -> Option<WorkflowState> {
+        if let Some(state) = self.ended.get(&id) {
+            return Some(*state);
+        }
+        let active = self.active.get(&id).filter(|active| active.recorded)?;
+        Some(if active.started {
+            WorkflowState::Running
+        } else {
+            WorkflowState::Queued
+        })
+    }
+
+    /// How many recorded workflows of a queue have started nothing; recurring ones do not count.
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        let waits = |active: &&Active| {
+            let counts = active.recorded && !active.started && !active.is_over();
+            counts && active.spec.recurrence.is_none() && active.spec.queue == *queue
+        };
+        self.active.values().filter(waits).count() as u64
+    }
+
+    /// Lets time pass: begins due occurrences, looks at workers, places tasks.
+    ///
+    /// `unix_ms` is the time of day, which only recurring workflows go by.
+    pub fn poll(&mut self, now: Time, unix_ms: u64) {
+        self.begin_occurrences(now, unix_ms);
+        self.end_recovery(now);
+        self.drop_lapsed(now);
+        self.look_at_workers(now);
+        let due = std::mem::take(&mut self.place_due) || now >= self.next_round;
+        if due && !self.ready.is_empty() {
+            self.next_round = now + ROUND;
+            self.place_ready(now);
+        }
+    }
+
+    /// The first run that this owner gives to a task whose earlier runs are not known.
+    fn first_run(&self) -> u32 {
+        let before = self.fence.saturating_sub(1).saturating_mul(RUNS_PER_OWNER);
+        u32::try_from(before + 1).unwrap_or(u32::MAX)
+    }
+
+    fn ready_key(&self, step: StepId) -> Option<ReadyKey> {
+        let active = self.active.get(&step.workflow)?;
+        Some(ReadyKey {
+            priority: active.priority,
+            due: active.due,
+            step,
+        })
+    }
+
+    /// Queues the step if tasks of it wait and may start.
+    fn queue_step(&mut self, step: StepId) {
+        let Some(active) = self.active.get(&step.workflow) else {
+            return;
+        };
+        let waits = active
+            .steps
+            .get(&(step.occurrence, step.step))
+            .is_some_and(|run| run.waiting().next().is_some());
+        if !waits || active.is_over() || !active.is_ready(step.occurrence, step.step) {
+            return;
+        }
+        if let Some(key) = self.ready_key(step) {
+            self.ready.insert(key);
+            self.place_due = true;
+        }
+    }
+
+    /// Queues each step of the workflow that may start.
+    fn queue_steps(&mut self, id: WorkflowId) {
+        let Some(active) = self.active.get(&id) else {
+            return;
+        };
+        let steps: Vec<(u32, u32)> = active.steps.keys().copied().collect();
+        for (occurrence, step) in steps {
+            self.queue_step(StepId {
+                workflow: id,
+                occurrence,
+                step,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/workflow/mod.rs
@@ -0,0 +1,19 @@
+//! Workflows: jobs of several steps, run by workers under leases.
+//!
+//! [`Engine`] decides; [`record`] is what the store keeps; [`WorkflowSpec`] is what callers hand in.
+
+mod active;
+mod engine;
+mod fleet;
+mod policy;
+pub mod record;
+mod routes;
+mod spec;
+
+pub use engine::{Batch, Cancelling, Effect, EndsMark, Engine, Submission, Token};
+pub use fleet::WorkerKey;
+pub use policy::{EngineConfig, PermitPolicy, QueuePolicy};
+pub use routes::{CallerLimits, QueueConfig, Route};
+pub use spec::{
+    MAX_TASKS, NameError, Recurrence, SpecError, StepId, StepSpec, TaskId, WorkflowId, WorkflowSpec,
+};
