Count a gang's failure once, and refuse only what certainly never runs

Cause: each member of a gang lists its own failure, and a new owner is told unacknowledged ends again, so one failed run counted twice and the workflow was shown as failed. A batch whose outcome was open was answered as refused after the owner ended. Looks at silent workers kept extending the time after which their tasks are certain to have ended, so these were never started again. Ruled out: ends lost by workers (the logs list each); a wrong number of attempts in the configuration. Change: failures are counted by run and recorded with the highest one; an owner's lost answer never turns into a refusal; a batch that the store certainly did not take is refused at once; looks at silent workers carry no lease; connections to peers that left a request unanswered are given up.

--- a/src/adapter/nng/client.rs
+++ b/src/adapter/nng/client.rs
@@ -113,6 +113,19 @@
     }
 }
 
+impl NngPeers {
+    /// Gives up a connection that may deliver nothing more; the next request makes another.
+    fn hang_up(&self, address: SocketAddr, used: &Arc<Peer>) {
+        let mut peers = lock(&self.peers);
+        if peers
+            .get(&address)
+            .is_some_and(|peer| Arc::ptr_eq(peer, used))
+        {
+            peers.remove(&address);
+        }
+    }
+}
+
 impl Peers for NngPeers {
     fn call<'a>(
         &'a self,
@@ -127,6 +140,7 @@
             let peer = self.peer(address)?;
             let secret = self.secret.clone();
             let traffic = self.traffic.clone();
+            let used = peer.clone();
             // The exchange outlives a caller that stops waiting, so that its lane is free of
             // operations when it is used again.
             let exchange =
@@ -134,7 +148,11 @@
                     async move { peer.exchange(&secret, &bytes, deadline, &traffic).await },
                 );
             let lost = |error| PeerError::NoReply(format!("the exchange ended: {error}"));
-            exchange.await.map_err(lost)?
+            let result = exchange.await.map_err(lost)?;
+            if matches!(result, Err(PeerError::NoReply(_))) {
+                self.hang_up(address, &used);
+            }
+            result
         })
     }
 }
--- a/src/coordinator/directory.rs
+++ b/src/coordinator/directory.rs
@@ -14,6 +14,8 @@
 struct Known {
     members: Vec<(Member, Time)>,
     owner: Option<OwnerHint>,
+    /// Whether the owner left the last question without an answer.
+    owner_silent: bool,
     /// Turns with each failed relay, so that another VM is asked first.
     turn: usize,
 }
@@ -52,10 +54,23 @@
     pub fn set_owner(&self, hint: OwnerHint) {
         let mut known = self.lock();
         if known.owner.is_none_or(|owner| owner.epoch <= hint.epoch) {
+            if known.owner != Some(hint) {
+                known.owner_silent = false;
+            }
             known.owner = Some(hint);
         }
     }
 
+    /// Whether the owner left the last question without an answer.
+    pub fn is_owner_silent(&self) -> bool {
+        self.lock().owner_silent
+    }
+
+    /// Notes whether the owner answered.
+    pub fn owner_answered(&self, answered: bool) {
+        self.lock().owner_silent = !answered;
+    }
+
     /// Notes that a member lives.
     pub fn heard(&self, member: Member, now: Time) {
         let mut known = self.lock();
--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -9,21 +9,24 @@
 use super::directory::Directory;
 use super::layout::{self, Handover};
 use super::ledger::encode;
-use super::message::{Ask, OwnerHint, Told};
+use super::message::{Ask, Told};
 use super::owner::{Event, OwnerAsk};
 use super::reader::{self, CALL_TIMEOUT};
 use super::seat::Seat;
 use crate::message::{Reply, Request};
 use crate::model::{QueueName, Time};
 use crate::node::clock::Clock;
-use crate::port::peer::SharedPeers;
+use crate::port::peer::{PeerError, SharedPeers};
 use crate::port::records::{SharedRecords, StoreCall, StoreError, StoreReply, Transaction};
 use crate::workflow::record::{WorkflowRecord, WorkflowState};
 use crate::workflow::{QueueConfig, WorkflowId, WorkflowSpec};
 
-/// How long the owner is waited for before the store is tried, as long as a call of the store takes
-/// when that is slow.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long the owner is waited for before the store is tried: an owner on a slowed VM answers within
+/// it, and a caller's time leaves room for two more tries.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How long the store is tried where it does nothing, so that the caller learns it early.
+const STORE_REFUSES: Duration = Duration::from_millis(150);
 
 /// Kept of a caller's time for the way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
@@ -51,6 +54,15 @@
     Unknown,
 }
 
+/// Why the owner gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unreached {
+    /// The question did not reach it.
+    NotSent,
+    /// The question may have reached it.
+    NoReply,
+}
+
 /// Answers callers.
 pub struct Gateway {
     records: SharedRecords,
@@ -118,12 +130,16 @@
             spec: spec.clone(),
         };
         let answer = match self.ask_owner(ask, deadline).await {
-            Some(Told::Accepted) => Answer::Accepted,
-            Some(Told::Refused) => Answer::NotRun,
-            other => {
-                tracing::info!(request = %id, owner_said = ?other, "a workflow is recorded without the owner");
+            Ok(Told::Accepted) => Answer::Accepted,
+            Ok(Told::Refused) => Answer::NotRun,
+            Ok(Told::NotOwner(_)) | Err(Unreached::NotSent) => {
                 self.hand_over(id, spec, deadline).await
             }
+            // The owner may have it, so a failure to hand it over does not mean that it never runs.
+            Ok(_) | Err(Unreached::NoReply) => match self.hand_over(id, spec, deadline).await {
+                Answer::NotRun => Answer::Unknown,
+                answer => answer,
+            },
         };
         tracing::info!(request = %id, ?answer, owner = self.owner_epoch(),
             time_left_ms = left(deadline, self.now()).as_millis(), "a submission is answered");
@@ -171,6 +187,7 @@
         /// Before a call without a result is sent again.
         const RETRY_PAUSE: Duration = Duration::from_millis(50);
         let call = StoreCall::Commit(transaction);
+        let give_up = self.now() + STORE_REFUSES;
         let mut open = None;
         loop {
             let limit = left(deadline, self.now()).min(CALL_TIMEOUT);
@@ -182,7 +199,8 @@
                 open = Some(error.clone());
             }
             let rejected = matches!(error, StoreError::Rejected(_));
-            if rejected || left(deadline, self.now()) <= RETRY_PAUSE {
+            let now = self.now();
+            if rejected || now >= give_up || left(deadline, now) <= RETRY_PAUSE {
                 return Err(open.unwrap_or(error));
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -192,7 +210,7 @@
     /// How a workflow stands.
     pub async fn state(&self, id: WorkflowId, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
-        if let Some(Told::State(Some(state))) = self.ask_owner(Ask::State(id), deadline).await {
+        if let Ok(Told::State(Some(state))) = self.ask_owner(Ask::State(id), deadline).await {
             return Answer::State(state);
         }
         match reader::read_state(&self.records, id).await {
@@ -212,7 +230,7 @@
     pub async fn cancel(&self, id: WorkflowId, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
         let answer = match self.ask_owner(Ask::Cancel(id), deadline).await {
-            Some(Told::Cancelled) => Answer::Cancelled,
+            Ok(Told::Cancelled) => Answer::Cancelled,
             _ => self.cancel_in_store(id, deadline).await,
         };
         tracing::info!(request = %id, ?answer, owner = self.owner_epoch(), "a cancellation is answered");
@@ -247,7 +265,7 @@
     pub async fn pending(&self, queue: &QueueName, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
         match self.ask_owner(Ask::Pending(queue.clone()), deadline).await {
-            Some(Told::Pending(count)) => Answer::Pending(count),
+            Ok(Told::Pending(count)) => Answer::Pending(count),
             other => {
                 tracing::warn!(%queue, owner_said = ?other, "a queue cannot be counted now");
                 Answer::Unknown
@@ -255,41 +273,44 @@
         }
     }
 
-    /// Asks the owner; `None` where it cannot be reached in time.
-    async fn ask_owner(&self, ask: Ask, deadline: Time) -> Option<Told> {
+    /// Asks the owner, unless it left the last question without an answer.
+    async fn ask_owner(&self, ask: Ask, deadline: Time) -> Result<Told, Unreached> {
         /// A second owner is asked where the first has given up.
         const TRIES: usize = 2;
         for _ in 0..TRIES {
             let limit = left(deadline, self.now()).min(OWNER_TIMEOUT);
             if self.seat.is_owner() {
-                let told = self.seat.ask(&ask, limit).await;
-                match told {
-                    Some(Told::NotOwner(_)) | None => {}
-                    told => return told,
-                }
+                return self.seat.ask(&ask, limit).await.ok_or(Unreached::NoReply);
             }
-            let OwnerHint { address, .. } = self.directory.owner()?;
-            if address == self.directory.own() {
-                return None;
+            let owner = self.directory.owner().ok_or(Unreached::NotSent)?;
+            let address = owner.address;
+            if address == self.directory.own() || self.directory.is_owner_silent() {
+                return Err(Unreached::NotSent);
             }
             let request = Request::Workflow(ask.clone());
             match self.peers.call(address, &request, limit).await {
                 Ok(Reply::Workflow(Told::NotOwner(hint))) => {
-                    let hint = hint.filter(|hint| hint.address != address)?;
-                    self.directory.set_owner(hint);
+                    let hint = hint.filter(|hint| hint.epoch > owner.epoch);
+                    self.directory.set_owner(hint.ok_or(Unreached::NotSent)?);
                 }
-                Ok(Reply::Workflow(told)) => return Some(told),
+                Ok(Reply::Workflow(told)) => return Ok(told),
                 Ok(other) => {
                     tracing::warn!(?other, "the owner gave an unexpected reply");
-                    return None;
+                    return Err(Unreached::NoReply);
+                }
+                Err(PeerError::NoReply(reason)) => {
+                    tracing::debug!(reason, %address, "the owner did not answer");
+                    self.directory.owner_answered(false);
+                    return Err(Unreached::NoReply);
                 }
                 Err(error) => {
-                    tracing::debug!(%error, %address, "the owner did not answer");
-                    return None;
+                    tracing::debug!(%error, %address, "the owner was not reached");
+                    self.directory.owner_answered(false);
+                    return Err(Unreached::NotSent);
                 }
             }
         }
-        None
+        Err(Unreached::NotSent)
     }
 
     fn owner_epoch(&self) -> u64 {
--- a/src/coordinator/ledger.rs
+++ b/src/coordinator/ledger.rs
@@ -13,16 +13,26 @@
 use crate::workflow::{Batch, WorkflowId};
 
 /// Before a transaction without a result is sent again.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// The most changes in one batch: a transaction holds at most 100 entries, two are the owner's, and
 /// a new workflow takes two.
 pub(super) const MAX_CHANGES: usize = 48;
 
-/// The process no longer owns the workflows.
+/// How often a transaction that the store did not take is sent, so that a short disturbance refuses
+/// nothing and a longer one is noticed within a quarter of the shortest objective of 250 ms.
+const TRIES_NOT_DONE: u32 = 2;
+
+/// Why a batch is not recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("another process owns the workflows")]
-pub(super) struct Overtaken;
+pub(super) enum RecordError {
+    /// The process no longer owns the workflows.
+    #[error("another process owns the workflows")]
+    Overtaken,
+    /// The store did nothing, and will not.
+    #[error("the store did not take the transaction")]
+    NotDone,
+}
 
 /// What a batch met that is recorded now.
 #[derive(Debug, Default)]
@@ -72,7 +82,8 @@
         }
     }
 
-    /// Records a batch, however long that takes.
+    /// Records a batch, however long that takes, unless it is certain that the store does not take
+    /// it.
     ///
     /// A transaction without an answer is repeated with the same conditions, of which each change of
     /// the owner's record makes an end; so it takes effect once.
@@ -82,10 +93,13 @@
         batch: &Batch,
         released: bool,
         watch: &dyn StoreWatch,
-    ) -> Result<Recording, Overtaken> {
+    ) -> Result<Recording, RecordError> {
         let mut recording = Recording::default();
         self.owner.transaction += 1;
         self.owner.released = released;
+        let mut not_done = 0;
+        // Whether a transaction of this batch may still take effect.
+        let mut open = false;
         loop {
             let transaction = match self.transaction(batch, &recording) {
                 Ok(transaction) => transaction,
@@ -103,6 +117,7 @@
                 }
                 Ok(StoreReply::Conflict { records }) => {
                     watch.succeeded();
+                    open = false;
                     if self.resolve(&records, &mut recording)? {
                         return Ok(recording);
                     }
@@ -116,6 +131,11 @@
                 }
                 Err(error) => {
                     watch.failed(&error);
+                    not_done += 1;
+                    open |= !matches!(error, StoreError::NotDone(_));
+                    if !open && not_done >= TRIES_NOT_DONE {
+                        return Err(RecordError::NotDone);
+                    }
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -123,15 +143,15 @@
     }
 
     /// Reads from a conflict what happened: true where the transaction took effect before.
-    fn resolve(&mut self, rows: &[Record], recording: &mut Recording) -> Result<bool, Overtaken> {
+    fn resolve(&mut self, rows: &[Record], recording: &mut Recording) -> Result<bool, RecordError> {
         let key = layout::owner_key();
         let row = rows.iter().find(|row| row.key == key);
         let found = row.and_then(|row| Some((reader::decode::<OwnerRecord>(row)?, row.version)));
         let Some((found, version)) = found else {
-            return Err(Overtaken);
+            return Err(RecordError::Overtaken);
         };
         if !found.is_same_process(&self.owner) || found.epoch != self.owner.epoch {
-            return Err(Overtaken);
+            return Err(RecordError::Overtaken);
         }
         if found.transaction == self.owner.transaction {
             self.version = version;
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -14,7 +14,7 @@
 use super::desk::{Desk, Question};
 use super::directory::Directory;
 use super::layout::Handover;
-use super::ledger::{Ledger, MAX_CHANGES, Overtaken, Recording, StoreWatch};
+use super::ledger::{Ledger, MAX_CHANGES, RecordError, Recording, StoreWatch};
 use super::message::{Ask, Told};
 use super::reader::Handovers;
 use crate::message::{Reply, Request};
@@ -39,6 +39,9 @@
 /// Between the beginnings of two transactions, so that one carries the changes of several events.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Between two transactions while the store fails.
+const FAILED_COMMIT_INTERVAL: Duration = Duration::from_millis(150);
+
 /// An owner without changes rewrites its record so often; others look for a third of the time that
 /// they wait before they follow it.
 const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -81,7 +84,7 @@
         answer: Result<Permits, PermitError>,
     },
     /// A transaction has ended.
-    Recorded(Box<(Ledger, Batch, Result<Recording, Overtaken>)>),
+    Recorded(Box<(Ledger, Batch, Result<Recording, RecordError>)>),
     /// The list of workers changed.
     Workers(News<WorkerChange>),
     /// VMs that did not reach the owner wrote to the store.
@@ -325,14 +328,19 @@
         &mut self,
         ledger: Ledger,
         batch: &Batch,
-        recording: Result<Recording, Overtaken>,
+        recording: Result<Recording, RecordError>,
         now: Time,
     ) {
         let released = ledger.owner.released;
         self.ledger = Some(ledger);
         match recording {
             Ok(recording) => self.engine.committed(batch, &recording.existing),
-            Err(Overtaken) => {
+            Err(RecordError::NotDone) => {
+                tracing::warn!(refused = batch.added.len(), "a batch is not recorded");
+                self.engine.not_recorded(batch);
+                return;
+            }
+            Err(RecordError::Overtaken) => {
                 tracing::warn!(
                     age_ms = now.since(self.last_commit).as_millis(),
                     "another process owns the workflows"
@@ -450,7 +458,11 @@
     fn commit(&mut self, me: &ActorRef<Self>, now: Time) {
         let waited = now.since(self.last_commit);
         let releasing = self.releasing.is_some();
-        if self.ledger.is_none() || (waited < COMMIT_INTERVAL && !releasing) {
+        let interval = match self.health.failing_ms() {
+            Some(_) => FAILED_COMMIT_INTERVAL,
+            None => COMMIT_INTERVAL,
+        };
+        if self.ledger.is_none() || (waited < interval && !releasing) {
             return;
         }
         let batch = self.engine.take_batch(MAX_CHANGES);
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -31,8 +31,6 @@
 pub(super) struct Handovers {
     pub(super) items: Vec<(WorkflowId, Handover)>,
     pub(super) version: u64,
-    /// Whether changes may have been missed, so that everything has to be read.
-    pub(super) gap: bool,
 }
 
 /// Reads one record; `None` where it is absent.
@@ -135,14 +133,12 @@
         } => Ok(Handovers {
             items: records.iter().filter_map(handover).collect(),
             version,
-            gap: false,
         }),
         StoreReply::HistoryGone => {
             let (rows, version) = scan(records, layout::HANDOVERS).await?;
             Ok(Handovers {
                 items: rows.iter().filter_map(handover).collect(),
                 version,
-                gap: true,
             })
         }
         other => Err(unexpected(&other)),
--- a/src/coordinator/relay.rs
+++ b/src/coordinator/relay.rs
@@ -59,11 +59,6 @@
         }
     }
 
-    /// Whether the last direct call reached the store.
-    pub fn is_direct(&self) -> bool {
-        *self.lock() == Way::Open
-    }
-
     async fn make(&self, call: &StoreCall, timeout: Duration) -> Result<StoreReply, StoreError> {
         let now = self.clock.now();
         let avoided = matches!(*self.lock(), Way::AvoidedUntil(until) if now < until);
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -142,7 +142,10 @@
             config_version,
         });
         let reply = self.ports.peers.call(owner.address, &request, PING_TIMEOUT);
-        match reply.await {
+        let reply = reply.await;
+        let answered = matches!(reply, Ok(Reply::Workflow(Told::Pong { .. })));
+        self.ports.directory.owner_answered(answered);
+        match reply {
             Ok(Reply::Workflow(Told::Pong { members, config })) => {
                 let now = self.ports.clock.now();
                 self.ports.directory.set_members(members, now);
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -189,6 +189,26 @@
         self.acknowledge(&batch.marks);
     }
 
+    /// Notes that the store did not take the batch: its new workflows are refused, the rest is
+    /// recorded later.
+    pub fn not_recorded(&mut self, batch: &Batch) {
+        self.journal.in_flight = false;
+        for (id, _) in &batch.added {
+            let tokens = self.journal.submitters.remove(id).unwrap_or_default();
+            self.effects.extend(tokens.into_iter().map(Effect::Refused));
+            self.forget(*id);
+        }
+        for (id, _) in &batch.progress {
+            self.journal.touch(*id);
+        }
+        for (id, _) in &batch.ended {
+            self.journal.touch(*id);
+        }
+        if batch.workers.is_some() {
+            self.journal.workers_changed();
+        }
+    }
+
     fn recorded(&mut self, id: WorkflowId, existing: &[(WorkflowId, WorkflowRecord)]) {
         let before = existing.iter().find(|(known, _)| *known == id);
         if let Some((_, WorkflowRecord::Ended(state))) = before {
--- a/src/workflow/engine/ends.rs
+++ b/src/workflow/engine/ends.rs
@@ -130,9 +130,11 @@
         {
             // A gang fails as a whole, so its failures are counted with its first member.
             let counted = if spec.gang { 0 } else { task.index };
-            let failures = run.progress.add_failure(counted);
-            self.journal.touch(id);
-            if failures >= attempts {
+            let failures = run.progress.add_failure(counted, ended.run);
+            if failures.is_some() {
+                self.journal.touch(id);
+            }
+            if failures.is_some_and(|failures| failures >= attempts) {
                 tracing::info!(request = %id, task = %task, failures, "a workflow failed");
                 active.failed = true;
                 self.wind_down(id, now);
--- a/src/workflow/engine/intake.rs
+++ b/src/workflow/engine/intake.rs
@@ -207,7 +207,7 @@
     }
 
     /// Drops a workflow that was never recorded.
-    fn forget(&mut self, id: WorkflowId) {
+    pub(super) fn forget(&mut self, id: WorkflowId) {
         self.unqueue(id);
         self.active.remove(&id);
     }
--- a/src/workflow/engine/looks.rs
+++ b/src/workflow/engine/looks.rs
@@ -64,9 +64,16 @@
             && worker.runs.values().all(settled);
         worker.looking = true;
         worker.next_look = None;
+        // While a worker is silent its leases are left to run out, so that it becomes certain that
+        // its tasks have ended.
+        let lease_until_ms = if worker.is_failing() {
+            None
+        } else {
+            worker.lease_until(lease_ms, now)
+        };
         let order = LookOrder {
             acknowledged: worker.recorded_end,
-            lease_until_ms: worker.lease_until(lease_ms, now),
+            lease_until_ms,
             wait_ms: if may_wait { WAIT_MS } else { 0 },
         };
         if let Some(worker) = self.fleet.get(key) {
@@ -145,6 +152,7 @@
             return;
         };
         worker.read_clock(report.clock_ms, now);
+        let was_silent = worker.is_failing();
         worker.answered();
         worker.last_look = sent;
         let seen = worker.seen_end;
@@ -163,6 +171,10 @@
         }
         self.recovered(key);
         self.plan_after_report(key, now);
+        if was_silent {
+            // The look that found it carried no lease.
+            self.look_by(key, now);
+        }
     }
 
     /// Compares what the worker runs with what it should run.
@@ -328,6 +340,7 @@
             return;
         };
         let has_ends = worker.seen_end > worker.recorded_end;
+
         if !worker.runs.is_empty() || worker.unknown_runs > 0 || has_ends {
             let gap = look_gap(worker);
             self.look_by(key, now + gap);
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -143,6 +143,7 @@
             && !self.listing.draining
             && self.unknown_runs == 0
             && self.clock.is_some()
+            && !self.is_failing()
             && now >= self.suspended_until
     }
 
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -44,10 +44,22 @@
 pub struct StepProgress {
     /// Tasks that are done: one bit each, the lowest first.
     pub done: Vec<u64>,
-    /// Tasks that have failed, and how often.
-    pub failures: Vec<(u32, u32)>,
+    /// Tasks that have failed.
+    pub failures: Vec<TaskFailures>,
 }
 
+common! { value
+/// How often a task has failed.
+pub struct TaskFailures {
+    /// The task.
+    pub index: u32,
+    /// How often it has failed.
+    pub count: u32,
+    /// The highest run that was counted, so that none is counted twice: workers list an end until
+    /// they are told that it is recorded, and each member of a gang lists its own.
+    pub last_run: u32,
+}}
+
 impl StepProgress {
     /// Whether the task is done.
     pub fn is_done(&self, index: u32) -> bool {
@@ -64,20 +76,25 @@
         self.done[word] |= 1 << (index % 64);
     }
 
-    /// How often the task has failed.
-    pub fn failures_of(&self, index: u32) -> u32 {
-        let found = self.failures.iter().find(|(task, _)| *task == index);
-        found.map_or(0, |(_, count)| *count)
-    }
-
-    /// Counts a failure of the task, and returns how often it has failed by now.
-    pub fn add_failure(&mut self, index: u32) -> u32 {
-        if let Some((_, count)) = self.failures.iter_mut().find(|(task, _)| *task == index) {
-            *count += 1;
-            return *count;
+    /// Counts that `run` of the task has failed, and returns how often it has failed by now; `None`
+    /// where that run was counted before.
+    pub fn add_failure(&mut self, index: u32, run: u32) -> Option<u32> {
+        let known = self.failures.iter_mut().find(|known| known.index == index);
+        let Some(known) = known else {
+            let count = 1;
+            self.failures.push(TaskFailures {
+                index,
+                count,
+                last_run: run,
+            });
+            return Some(count);
+        };
+        if run <= known.last_run {
+            return None;
         }
-        self.failures.push((index, 1));
-        1
+        known.last_run = run;
+        known.count += 1;
+        Some(known.count)
     }
 }
 
