Resolve open submissions within the caller's time

Cause: a submission whose effect was open was answered as unknown after 150 ms; clients cannot repeat it then. Ruled out: refusing it, which would not be true. Change: where it is open whether a workflow will run, the store is tried for all the time that the caller waits; refusals that are certain stay early.

--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -133,10 +133,10 @@
             Ok(Told::Accepted) => Answer::Accepted,
             Ok(Told::Refused) => Answer::NotRun,
             Ok(Told::NotOwner(_)) | Err(Unreached::NotSent) => {
-                self.hand_over(id, spec, deadline).await
+                self.hand_over(id, spec, false, deadline).await
             }
             // The owner may have it, so a failure to hand it over does not mean that it never runs.
-            Ok(_) | Err(Unreached::NoReply) => match self.hand_over(id, spec, deadline).await {
+            Ok(_) | Err(Unreached::NoReply) => match self.hand_over(id, spec, true, deadline).await {
                 Answer::NotRun => Answer::Unknown,
                 answer => answer,
             },
@@ -146,8 +146,15 @@
         answer
     }
 
-    /// Writes a new workflow to the store, for the owner to find.
-    async fn hand_over(&self, id: WorkflowId, spec: WorkflowSpec, deadline: Time) -> Answer {
+    /// Writes a new workflow to the store, for the owner to find. Where it is `open` whether the
+    /// workflow will run, that is tried for all the time that the caller waits.
+    async fn hand_over(
+        &self,
+        id: WorkflowId,
+        spec: WorkflowSpec,
+        open: bool,
+        deadline: Time,
+    ) -> Answer {
         let record = WorkflowRecord::Active(spec);
         let encoded = encode(&record);
         let handover = encode(&Handover::Submitted(record));
@@ -163,7 +170,7 @@
             ],
             removals: Vec::new(),
         };
-        match self.commit_within(transaction, deadline).await {
+        match self.commit_within(transaction, open, deadline).await {
             // A workflow that has a record was accepted before.
             Ok(_) => Answer::Accepted,
             Err(StoreError::NotDone(reason) | StoreError::Rejected(reason)) => {
@@ -177,31 +184,34 @@
         }
     }
 
-    /// Repeats a transaction until it has a result or the time is over. Once the effect of a try is
-    /// open, a later failure does not close it.
+    /// Repeats a transaction until it has a result. Where the store does nothing this ends soon,
+    /// unless the effect of an earlier try is `open`; a later failure does not close that.
     async fn commit_within(
         &self,
         transaction: Transaction,
+        mut open: bool,
         deadline: Time,
     ) -> Result<StoreReply, StoreError> {
         /// Before a call without a result is sent again.
         const RETRY_PAUSE: Duration = Duration::from_millis(50);
         let call = StoreCall::Commit(transaction);
         let give_up = self.now() + STORE_REFUSES;
-        let mut open = None;
         loop {
             let limit = left(deadline, self.now()).min(CALL_TIMEOUT);
             let error = match self.records.call(&call, limit).await {
                 Ok(reply) => return Ok(reply),
                 Err(error) => error,
             };
-            if matches!(error, StoreError::Unknown(_)) {
-                open = Some(error.clone());
-            }
-            let rejected = matches!(error, StoreError::Rejected(_));
+            open |= matches!(error, StoreError::Unknown(_));
             let now = self.now();
-            if rejected || now >= give_up || left(deadline, now) <= RETRY_PAUSE {
-                return Err(open.unwrap_or(error));
+            let until = if open { deadline } else { give_up };
+            let rejected = matches!(error, StoreError::Rejected(_));
+            if rejected || now >= until || left(deadline, now) <= RETRY_PAUSE {
+                return Err(if open {
+                    StoreError::Unknown(error.to_string())
+                } else {
+                    error
+                });
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -252,7 +262,7 @@
             puts: vec![(layout::cancelled_key(id), value)],
             ..Transaction::default()
         };
-        match self.commit_within(transaction, deadline).await {
+        match self.commit_within(transaction, true, deadline).await {
             Ok(_) => Answer::Cancelled,
             Err(error) => {
                 tracing::warn!(request = %id, %error, "a cancellation is not recorded");
