Keep workflows that another VM recorded while the owner's batch was refused

Cause: a workflow that was submitted to the owner and handed over through the store was dropped from memory when the owner's own batch was not taken; its running tasks went on without an owner, their ends were acknowledged and not recorded (TWICE, LOST). Runs that failed were counted by the highest number, so ends that a new owner learns out of order were left out (BUDGET). Change: a batch that is not taken refuses only workflows without a record; failures keep their run numbers.

--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -136,7 +136,8 @@
                 self.hand_over(id, spec, false, deadline).await
             }
             // The owner may have it, so a failure to hand it over does not mean that it never runs.
-            Ok(_) | Err(Unreached::NoReply) => match self.hand_over(id, spec, true, deadline).await {
+            Ok(_) | Err(Unreached::NoReply) => match self.hand_over(id, spec, true, deadline).await
+            {
                 Answer::NotRun => Answer::Unknown,
                 answer => answer,
             },
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -229,6 +229,9 @@
                 asked,
                 answer,
             } => {
+                let granted = answer.as_ref().map_or(0, |permits| permits.granted.len());
+                tracing::info!(request = %step.workflow, %step, %vm, asked = asked.len(), granted,
+                    answered = answer.is_ok(), "a question about permits has ended");
                 self.desk.answered(vm, answer.is_ok(), now);
                 self.engine.permits_answered(step, &asked, answer, now);
             }
@@ -489,6 +492,9 @@
     /// Hands questions about permits to VMs that are free.
     fn ask_permits(&mut self, me: &ActorRef<Self>, now: Time) {
         while let Some((vm, question)) = self.desk.next(now) {
+            tracing::debug!(request = %question.step.workflow, step = %question.step, %vm,
+                asked = question.workers.len(), takes_ms = question.takes_ms,
+                "permits are asked for");
             let (ports, me) = (self.ports.clone(), me.clone());
             tokio::spawn(async move {
                 let Question {
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -195,8 +195,7 @@
         self.journal.in_flight = false;
         for (id, _) in &batch.added {
             let tokens = self.journal.submitters.remove(id).unwrap_or_default();
-            self.effects.extend(tokens.into_iter().map(Effect::Refused));
-            self.forget(*id);
+            self.refuse(*id, tokens);
         }
         for (id, _) in &batch.progress {
             self.journal.touch(*id);
--- a/src/workflow/engine/intake.rs
+++ b/src/workflow/engine/intake.rs
@@ -81,11 +81,23 @@
     /// Refuses the submissions whose record has not been sent to the store, since it does not answer.
     pub fn refuse_unsent(&mut self) {
         for (id, tokens) in self.journal.take_unsent() {
-            self.forget(id);
-            self.effects.extend(tokens.into_iter().map(Effect::Refused));
+            self.refuse(id, tokens);
         }
     }
 
+    /// Refuses a workflow, unless another VM has recorded it meanwhile.
+    pub(super) fn refuse(&mut self, id: WorkflowId, tokens: Vec<Token>) {
+        let recorded = self.active.get(&id).is_some_and(|active| active.recorded);
+        if recorded || self.ended.contains_key(&id) {
+            self.effects
+                .extend(tokens.into_iter().map(Effect::Accepted));
+            return;
+        }
+        self.unqueue(id);
+        self.active.remove(&id);
+        self.effects.extend(tokens.into_iter().map(Effect::Refused));
+    }
+
     /// Takes up a workflow that the store holds.
     pub fn load(&mut self, id: WorkflowId, record: WorkflowRecord, progress: &Progress, now: Time) {
         match record {
@@ -206,12 +218,6 @@
         self.active.insert(id, active);
     }
 
-    /// Drops a workflow that was never recorded.
-    pub(super) fn forget(&mut self, id: WorkflowId) {
-        self.unqueue(id);
-        self.active.remove(&id);
-    }
-
     /// Takes all steps of a workflow from the queue.
     pub(super) fn unqueue(&mut self, id: WorkflowId) {
         let Some(active) = self.active.get(&id) else {
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -48,17 +48,15 @@
     pub failures: Vec<TaskFailures>,
 }
 
-common! { value
 /// How often a task has failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskFailures {
     /// The task.
     pub index: u32,
-    /// How often it has failed.
-    pub count: u32,
-    /// The highest run that was counted, so that none is counted twice: workers list an end until
-    /// they are told that it is recorded, and each member of a gang lists its own.
-    pub last_run: u32,
-}}
+    /// The runs that failed. None is counted twice, although workers list an end until they are told
+    /// that it is recorded, and each member of a gang lists its own.
+    pub runs: Vec<u32>,
+}
 
 impl StepProgress {
     /// Whether the task is done.
@@ -79,22 +77,18 @@
     /// Counts that `run` of the task has failed, and returns how often it has failed by now; `None`
     /// where that run was counted before.
     pub fn add_failure(&mut self, index: u32, run: u32) -> Option<u32> {
-        let known = self.failures.iter_mut().find(|known| known.index == index);
-        let Some(known) = known else {
-            let count = 1;
-            self.failures.push(TaskFailures {
-                index,
-                count,
-                last_run: run,
-            });
-            return Some(count);
-        };
-        if run <= known.last_run {
+        let known = self.failures.iter().position(|known| known.index == index);
+        let known = known.unwrap_or_else(|| {
+            let runs = Vec::new();
+            self.failures.push(TaskFailures { index, runs });
+            self.failures.len() - 1
+        });
+        let runs = &mut self.failures[known].runs;
+        if runs.contains(&run) {
             return None;
         }
-        known.last_run = run;
-        known.count += 1;
-        Some(known.count)
+        runs.push(run);
+        u32::try_from(runs.len()).ok()
     }
 }
 
