Take handovers whole and in order, give up when cut off, back feeds by whole reads

Ruled out: lost writes of the cancellation (the row was there); stale reads of the store. Change: the table of handovers is read whole each second, workflows before cancellations, and taken rows are removed with the next transaction; an owner that no VM pings for 1.5 s gives up; the configuration and the list of workers are also read whole.

--- a/src/coordinator/directory.rs
+++ b/src/coordinator/directory.rs
@@ -16,6 +16,8 @@
     owner: Option<OwnerHint>,
     /// Whether the owner left the last question without an answer.
     owner_silent: bool,
+    /// When another VM was last heard of.
+    heard_at: Option<Time>,
     /// Turns with each failed relay, so that another VM is asked first.
     turn: usize,
 }
@@ -77,9 +79,15 @@
         known.members.retain(|(other, at)| {
             other.address != member.address && now.since(*at) < MEMBER_SILENCE
         });
+        known.heard_at = Some(now);
         known.members.push((member, now));
     }
 
+    /// When another VM last told that it lives.
+    pub fn heard_at(&self) -> Option<Time> {
+        self.lock().heard_at
+    }
+
     /// Takes up the members that the owner knows.
     pub fn set_members(&self, members: Vec<Member>, now: Time) {
         let mut known = self.lock();
--- a/src/coordinator/ledger.rs
+++ b/src/coordinator/ledger.rs
@@ -15,9 +15,12 @@
 /// Before a transaction without a result is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// The most changes in one batch: a transaction holds at most 100 entries, two are the owner's, and
-/// a new workflow takes two.
-pub(super) const MAX_CHANGES: usize = 48;
+/// The most changes in one batch: a transaction holds at most 100 entries, three are the owner's and
+/// that of the list of workers, and a new workflow takes two.
+pub(super) const MAX_CHANGES: usize = 40;
+
+/// The most handovers that are removed with one batch: what [`MAX_CHANGES`] leaves.
+pub(super) const MAX_TAKEN: usize = 16;
 
 /// How often a transaction that the store did not take is sent, so that a short disturbance refuses
 /// nothing and a longer one is noticed within a quarter of the shortest objective of 250 ms.
@@ -83,7 +86,7 @@
     }
 
     /// Records a batch, however long that takes, unless it is certain that the store does not take
-    /// it.
+    /// it. The handovers `taken` are removed with it.
     ///
     /// A transaction without an answer is repeated with the same conditions, of which each change of
     /// the owner's record makes an end; so it takes effect once.
@@ -91,6 +94,7 @@
         &mut self,
         records: &SharedRecords,
         batch: &Batch,
+        taken: &[RecordKey],
         released: bool,
         watch: &dyn StoreWatch,
     ) -> Result<Recording, RecordError> {
@@ -101,7 +105,7 @@
         // Whether a transaction of this batch may still take effect.
         let mut open = false;
         loop {
-            let transaction = match self.transaction(batch, &recording) {
+            let transaction = match self.transaction(batch, taken, &recording) {
                 Ok(transaction) => transaction,
                 Err(error) => {
                     tracing::error!(%error, "a batch cannot be encoded");
@@ -167,11 +171,16 @@
         Ok(false)
     }
 
-    fn transaction(&self, batch: &Batch, recording: &Recording) -> Result<Transaction, StoreError> {
+    fn transaction(
+        &self,
+        batch: &Batch,
+        taken: &[RecordKey],
+        recording: &Recording,
+    ) -> Result<Transaction, StoreError> {
         let mut transaction = Transaction {
             expected: vec![(layout::owner_key(), self.version)],
             puts: vec![(layout::owner_key(), encode(&self.owner)?)],
-            removals: Vec::new(),
+            removals: taken.to_vec(),
         };
         let exists = |id: &WorkflowId| recording.existing.iter().any(|(known, _)| known == id);
         for (id, record) in batch.added.iter().filter(|(id, _)| !exists(id)) {
--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -32,6 +32,10 @@
 /// to know a new version.
 const CONFIG_WAIT: Duration = Duration::from_secs(2);
 
+/// Between two reads of the whole configuration, on VMs that do not learn it from an owner: with a
+/// call of a slow store it stays within the 2 s in which a version has to be in force.
+const CONFIG_INTERVAL: Duration = Duration::from_millis(800);
+
 /// After the feed failed it is read again after so long, so that a configuration is in force within
 /// the platform's 2 s once the store serves again.
 const CONFIG_RETRY: Duration = Duration::from_millis(200);
@@ -102,7 +106,7 @@
         let handler = WorkflowHandler {
             seat: seat.clone(),
             gateway: gateway.clone(),
-            directory,
+            directory: directory.clone(),
             direct: ports.records,
             permits: ports.permits,
             clock,
@@ -113,7 +117,12 @@
             queues: queues_tx,
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(feed_config(feeds, config.clone()));
+        tasks.spawn(feed_config(
+            feeds,
+            config.clone(),
+            seat.clone(),
+            directory.clone(),
+        ));
         let known = config.clone();
         tasks.spawn(
             seat.clone()
@@ -165,9 +174,20 @@
     }
 }
 
-async fn feed_config(feeds: SharedFeeds, config: Arc<Config>) {
+/// Learns versions of the configuration from their feed. A feed whose history is cut may pass over
+/// one, so a VM that cannot learn it from an owner reads the version in force as a whole too.
+async fn feed_config(
+    feeds: SharedFeeds,
+    config: Arc<Config>,
+    seat: Arc<Seat>,
+    directory: Arc<Directory>,
+) {
     let mut version = None;
     loop {
+        if seat.is_owner() || directory.owner().is_none() || directory.is_owner_silent() {
+            version = None;
+            tokio::time::sleep(CONFIG_INTERVAL).await;
+        }
         match feeds.configurations(version, CONFIG_WAIT).await {
             Ok(news) => {
                 version = Some(news.version);
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -1,5 +1,6 @@
 //! The actor that runs the engine on the VM that owns the workflows.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,10 +14,9 @@
 
 use super::desk::{Desk, Question};
 use super::directory::Directory;
-use super::layout::Handover;
-use super::ledger::{Ledger, MAX_CHANGES, RecordError, Recording, StoreWatch};
+use super::layout::{self, Handover};
+use super::ledger::{Ledger, MAX_CHANGES, MAX_TAKEN, RecordError, Recording, StoreWatch};
 use super::message::{Ask, Told};
-use super::reader::Handovers;
 use crate::message::{Reply, Request};
 use crate::model::{QueueName, Time, WorkerName};
 use crate::node::clock::Clock;
@@ -26,8 +26,8 @@
 use crate::port::feeds::{News, SharedFeeds, WorkerChange};
 use crate::port::peer::SharedPeers;
 use crate::port::permits::SharedPermits;
-use crate::port::records::{SharedRecords, StoreError};
-use crate::workflow::record::Progress;
+use crate::port::records::{RecordKey, SharedRecords, StoreError};
+use crate::workflow::record::{Progress, WorkflowState};
 use crate::workflow::{
     Batch, Cancelling, Effect, Engine, QueuePolicy, StepId, Submission, TaskId, Token, WorkerKey,
     WorkflowId, WorkflowSpec,
@@ -54,6 +54,20 @@
 /// one question of this VM that is still under way.
 const PERMIT_TIMEOUT_MS: u64 = 800;
 
+/// An owner that no other VM tells that it lives for so long gives up: several pings.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Why an owner no longer owns the workflows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ending {
+    /// Another process followed it.
+    Overtaken,
+    /// It was asked to give up.
+    Released,
+    /// It gave up, as it reaches no other VM.
+    CutOff,
+}
+
 /// What an owner needs from its VM.
 #[derive(Clone)]
 pub(super) struct OwnerPorts {
@@ -84,11 +98,12 @@
         answer: Result<Permits, PermitError>,
     },
     /// A transaction has ended.
-    Recorded(Box<(Ledger, Batch, Result<Recording, RecordError>)>),
+    Recorded(Box<Recorded>),
     /// The list of workers changed.
     Workers(News<WorkerChange>),
-    /// VMs that did not reach the owner wrote to the store.
-    HandedOver(Handovers),
+    /// VMs that did not reach the owner wrote these to the store; workflows come before
+    /// cancellations.
+    HandedOver(Vec<(WorkflowId, Handover)>),
     /// A configuration came into force.
     Queues(Vec<QueuePolicy>),
     /// Time passes.
@@ -97,6 +112,15 @@
     Release(oneshot::Sender<()>),
 }
 
+/// A transaction that has ended.
+pub(super) struct Recorded {
+    ledger: Ledger,
+    batch: Batch,
+    /// The handovers that it removes.
+    taken: Vec<RecordKey>,
+    recording: Result<Recording, RecordError>,
+}
+
 /// What callers and other VMs ask the owner.
 #[derive(Debug)]
 pub(super) enum OwnerAsk {
@@ -162,28 +186,37 @@
     callers: Slab<oneshot::Sender<Told>>,
     health: Arc<Health>,
     last_commit: Time,
-    releasing: Option<oneshot::Sender<()>>,
-    ended: watch::Sender<bool>,
+    /// Set once another VM is to follow.
+    releasing: Option<Ending>,
+    /// Who waits for that.
+    release: Option<oneshot::Sender<()>>,
+    /// Handovers that are taken up and can be removed.
+    taken: BTreeSet<RecordKey>,
+    began: Time,
+    ended: watch::Sender<Option<Ending>>,
 }
 
 impl Owner {
-    /// An actor for an engine that has taken up what is recorded; `ended` turns true when it no
+    /// An actor for an engine that has taken up what is recorded; `ended` says when and why it no
     /// longer owns the workflows.
     pub(super) fn new(
         engine: Engine,
         ledger: Ledger,
         ports: OwnerPorts,
-        ended: watch::Sender<bool>,
+        ended: watch::Sender<Option<Ending>>,
     ) -> Self {
         Self {
             engine,
             ledger: Some(ledger),
             health: Arc::new(Health::new(ports.clock)),
             last_commit: ports.clock.now(),
+            began: ports.clock.now(),
             ports,
             desk: Desk::default(),
             callers: Slab::new(),
             releasing: None,
+            release: None,
+            taken: BTreeSet::new(),
             ended,
         }
     }
@@ -235,15 +268,15 @@
                 self.desk.answered(vm, answer.is_ok(), now);
                 self.engine.permits_answered(step, &asked, answer, now);
             }
-            Event::Recorded(recorded) => {
-                let (ledger, batch, recording) = *recorded;
-                self.recorded(ledger, &batch, recording, now);
-            }
+            Event::Recorded(recorded) => self.recorded(*recorded, now),
             Event::Workers(news) => self.workers(news, now),
             Event::HandedOver(handovers) => self.handed_over(handovers, now),
             Event::Queues(queues) => self.engine.set_queues(queues),
             Event::Tick => self.tick(now),
-            Event::Release(tx) => self.releasing = Some(tx),
+            Event::Release(tx) => {
+                self.releasing = Some(Ending::Released);
+                self.release = Some(tx);
+            }
         }
         let unix_ms = self.ports.clock.unix_now().0 / 1_000;
         self.engine.poll(now, unix_ms);
@@ -286,6 +319,10 @@
         let vms: Vec<SocketAddr> = vms.into_iter().map(|member| member.address).collect();
         self.desk.set_vms(&vms);
         self.engine.set_askers(vms.len());
+        if self.releasing.is_none() && self.is_cut_off(now) {
+            tracing::warn!("no other VM is heard of any more; one that is reached is to follow");
+            self.releasing = Some(Ending::CutOff);
+        }
         if self
             .health
             .failing_ms()
@@ -295,6 +332,13 @@
         }
     }
 
+    /// Whether other VMs were heard of since this one owns the workflows, and no longer are.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let heard = self.ports.directory.heard_at();
+        let heard = heard.filter(|at| *at > self.began);
+        heard.is_some_and(|at| now.since(at) > CUT_OFF_AFTER)
+    }
+
     fn workers(&mut self, news: News<WorkerChange>, now: Time) {
         let mut listed = Vec::new();
         for change in news.items {
@@ -311,33 +355,44 @@
         }
     }
 
-    fn handed_over(&mut self, handovers: Handovers, now: Time) {
-        for (id, handover) in handovers.items {
+    fn handed_over(&mut self, handovers: Vec<(WorkflowId, Handover)>, now: Time) {
+        for (id, handover) in handovers {
             match handover {
                 Handover::Submitted(record) => {
-                    tracing::info!(request = %id, "a workflow was handed over through the store");
-                    self.engine.load(id, record, &Progress::default(), now);
-                }
-                Handover::Cancelled => {
-                    tracing::info!(request = %id, "a cancellation was handed over through the store");
-                    // No one waits: the caller was answered when the record was written.
-                    let _ = self.engine.cancel(id, None, now);
+                    if self.taken.insert(layout::submitted_key(id)) {
+                        tracing::info!(request = %id, "a workflow was handed over through the store");
+                        self.engine.load(id, record, &Progress::default(), now);
+                    }
                 }
+                Handover::Cancelled => self.cancellation_handed_over(id, now),
             }
         }
     }
 
-    fn recorded(
-        &mut self,
-        ledger: Ledger,
-        batch: &Batch,
-        recording: Result<Recording, RecordError>,
-        now: Time,
-    ) {
-        let released = ledger.owner.released;
-        self.ledger = Some(ledger);
-        match recording {
-            Ok(recording) => self.engine.committed(batch, &recording.existing),
+    /// Takes up a cancellation. No one waits: the caller was answered when it was written.
+    fn cancellation_handed_over(&mut self, id: WorkflowId, now: Time) {
+        let ended = self.engine.state(id).is_some_and(WorkflowState::is_final);
+        if ended {
+            self.taken.insert(layout::cancelled_key(id));
+            return;
+        }
+        tracing::info!(request = %id, "a cancellation was handed over through the store");
+        if self.engine.cancel(id, None, now) == Cancelling::Unknown {
+            tracing::warn!(request = %id, "a cancelled workflow is not known yet");
+        }
+    }
+
+    fn recorded(&mut self, recorded: Recorded, now: Time) {
+        let batch = &recorded.batch;
+        let released = recorded.ledger.owner.released;
+        self.ledger = Some(recorded.ledger);
+        match recorded.recording {
+            Ok(recording) => {
+                self.engine.committed(batch, &recording.existing);
+                for key in &recorded.taken {
+                    self.taken.remove(key);
+                }
+            }
             Err(RecordError::NotDone) => {
                 tracing::warn!(refused = batch.added.len(), "a batch is not recorded");
                 self.engine.not_recorded(batch);
@@ -348,28 +403,28 @@
                     age_ms = now.since(self.last_commit).as_millis(),
                     "another process owns the workflows"
                 );
-                self.end();
+                self.end(Ending::Overtaken);
                 return;
             }
         }
         if released {
             tracing::info!("the workflows are given up");
-            self.end();
+            self.end(self.releasing.unwrap_or(Ending::Released));
         }
     }
 
-    fn end(&mut self) {
+    fn end(&mut self, ending: Ending) {
         for tx in self.callers.drain() {
             let _ = tx.send(Told::Unknown);
         }
-        if let Some(tx) = self.releasing.take() {
+        if let Some(tx) = self.release.take() {
             let _ = tx.send(());
         }
-        self.ended.send_replace(true);
+        self.ended.send_replace(Some(ending));
     }
 
     fn has_ended(&self) -> bool {
-        *self.ended.borrow()
+        self.ended.borrow().is_some()
     }
 
     fn carry_out(&mut self, me: &ActorRef<Self>, now: Time) {
@@ -478,13 +533,19 @@
         self.last_commit = now;
         let release = releasing && batch.is_none();
         let batch = batch.unwrap_or_default();
+        let taken: Vec<RecordKey> = self.taken.iter().take(MAX_TAKEN).cloned().collect();
         let (records, health, me) = (self.ports.records.clone(), self.health.clone(), me.clone());
         tokio::spawn(async move {
             let recording = ledger
-                .record(&records, &batch, release, health.as_ref())
+                .record(&records, &batch, &taken, release, health.as_ref())
                 .await;
             let _ = me
-                .tell(Event::Recorded(Box::new((ledger, batch, recording))))
+                .tell(Event::Recorded(Box::new(Recorded {
+                    ledger,
+                    batch,
+                    taken,
+                    recording,
+                })))
                 .await;
         });
     }
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -22,15 +22,7 @@
 pub(super) struct Recorded {
     pub(super) workflows: Vec<(WorkflowId, WorkflowRecord, Progress)>,
     pub(super) workers: Vec<WorkerListing>,
-    /// Up to which version handovers are contained.
-    pub(super) version: u64,
-}
-
-/// News of handovers.
-#[derive(Debug)]
-pub(super) struct Handovers {
-    pub(super) items: Vec<(WorkflowId, Handover)>,
-    pub(super) version: u64,
+    pub(super) handovers: Vec<(WorkflowId, Handover)>,
 }
 
 /// Reads one record; `None` where it is absent.
@@ -92,17 +84,17 @@
 
 /// Reads all records of workflows.
 pub(super) async fn read_all(records: &SharedRecords) -> Result<Recorded, StoreError> {
-    let (handovers, version) = scan(records, layout::HANDOVERS).await?;
-    let (workflows, _) = scan(records, layout::WORKFLOWS).await?;
-    let (progress, _) = scan(records, layout::PROGRESS).await?;
+    let handovers = read_handovers(records).await?;
+    let workflows = scan(records, layout::WORKFLOWS).await?;
+    let progress = scan(records, layout::PROGRESS).await?;
     let workers = read_one(records, &layout::workers_key()).await?;
     let mut known: std::collections::HashMap<WorkflowId, Progress> = progress
         .iter()
         .filter_map(|row| Some((id_of(row)?, decode::<Progress>(row)?)))
         .collect();
-    for (id, handover) in handovers.iter().filter_map(handover) {
-        if handover == Handover::Cancelled {
-            known.entry(id).or_default().cancelled = true;
+    for (id, handover) in &handovers {
+        if *handover == Handover::Cancelled {
+            known.entry(*id).or_default().cancelled = true;
         }
     }
     let workflows = workflows.iter().filter_map(|row| {
@@ -113,41 +105,26 @@
     Ok(Recorded {
         workflows: workflows.collect(),
         workers: workers.and_then(|row| decode(&row)).unwrap_or_default(),
-        version,
+        handovers,
     })
 }
 
-/// Reads the handovers after `version`.
+/// Reads the handovers that no owner has taken yet: workflows first, since a cancellation may be of
+/// one of them.
 pub(super) async fn read_handovers(
     records: &SharedRecords,
-    version: u64,
-) -> Result<Handovers, StoreError> {
-    let call = StoreCall::Changes {
-        table: layout::HANDOVERS.to_owned(),
-        after: version,
-        wait_ms: 0,
-    };
-    match records.call(&call, CALL_TIMEOUT).await? {
-        StoreReply::Records {
-            records, version, ..
-        } => Ok(Handovers {
-            items: records.iter().filter_map(handover).collect(),
-            version,
-        }),
-        StoreReply::HistoryGone => {
-            let (rows, version) = scan(records, layout::HANDOVERS).await?;
-            Ok(Handovers {
-                items: rows.iter().filter_map(handover).collect(),
-                version,
-            })
-        }
-        other => Err(unexpected(&other)),
-    }
+) -> Result<Vec<(WorkflowId, Handover)>, StoreError> {
+    let rows = scan(records, layout::HANDOVERS).await?;
+    let mut handovers: Vec<(WorkflowId, Handover)> = rows
+        .iter()
+        .filter_map(|row| Some((id_of(row)?, decode(row)?)))
+        .collect();
+    handovers.sort_by_key(|(_, handover)| *handover == Handover::Cancelled);
+    Ok(handovers)
 }
 
-async fn scan(records: &SharedRecords, table: &str) -> Result<(Vec<Record>, u64), StoreError> {
+async fn scan(records: &SharedRecords, table: &str) -> Result<Vec<Record>, StoreError> {
     let mut rows: Vec<Record> = Vec::new();
-    let mut first_version = None;
     loop {
         // The last key followed by the smallest character that keys of workflows do not contain.
         let from = rows.last().map(|last| format!("{}!", last.key.key));
@@ -160,15 +137,12 @@
         };
         match records.call(&call, CALL_TIMEOUT).await? {
             StoreReply::Records {
-                records,
-                truncated,
-                version,
+                records, truncated, ..
             } => {
-                let first = *first_version.get_or_insert(version);
                 let empty = records.is_empty();
                 rows.extend(records);
                 if !truncated || empty {
-                    return Ok((rows, first));
+                    return Ok(rows);
                 }
             }
             other => return Err(unexpected(&other)),
@@ -176,10 +150,6 @@
     }
 }
 
-fn handover(row: &Record) -> Option<(WorkflowId, Handover)> {
-    Some((id_of(row)?, decode(row)?))
-}
-
 fn id_of(row: &Record) -> Option<WorkflowId> {
     let id = layout::workflow_of(&row.key);
     if id.is_err() {
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -7,16 +7,16 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 
-use super::layout::OwnerRecord;
+use super::layout::{Handover, OwnerRecord};
 use super::ledger::{Ledger, RecordError, StoreWatch};
 use super::message::{Ask, Member, OwnerHint, Told};
-use super::owner::{Event, HEARTBEAT, Owner, OwnerPorts};
+use super::owner::{Ending, Event, HEARTBEAT, Owner, OwnerPorts};
 use super::reader::{self, Recorded};
 use crate::message::{Reply, Request};
 use crate::model::Time;
 use crate::port::feeds::{News, WorkerChange};
 use crate::port::records::StoreError;
-use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy};
+use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy, WorkflowId};
 
 /// Between two pings of the owner.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
@@ -34,15 +34,23 @@
 /// Between two looks at the record of an owner that does not answer.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// An owner that gave up as it reached no other VM leaves its place to others for so long: they see
+/// its record within two looks.
+const LET_OTHERS_FOLLOW: Duration = Duration::from_secs(2);
+
 /// How long the feed of workers waits for a change. A connection that has gone silent is noticed
 /// after this and the timeout of the call, within the 5 s in which an owner that was cut off has to
 /// know of workers that leave.
-const WORKERS_WAIT: Duration = Duration::from_secs(2);
+const WORKERS_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Between two looks for what VMs wrote that did not reach the owner; with the 300 ms of a slow
 /// call it stays within the 3 s in which a cancellation has to take effect.
 const HANDOVERS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The list of workers is read as a whole so often, beside its feed: a worker that leaves has to be
+/// known within the 2 s after which no task may start there.
+const WHOLE_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// After a feed failed it is read again after so long.
 const FEED_RETRY: Duration = Duration::from_millis(200);
 
@@ -266,7 +274,7 @@
             engine.load(id, record, &progress, now);
         }
         tracing::info!(epoch, workflows, "the recorded workflows are taken up");
-        let (ended, mut has_ended) = watch::channel(false);
+        let (ended, mut has_ended) = watch::channel(None);
         let owner = Owner::new(engine, ledger, self.ports.clone(), ended);
         let owner = Owner::spawn(owner);
         let mut tasks = JoinSet::new();
@@ -279,7 +287,7 @@
         tasks.spawn(feed_handovers(
             self.ports.clone(),
             owner.clone(),
-            recorded.version,
+            recorded.handovers,
         ));
         tasks.spawn(feed_queues(self.queues.clone(), owner.clone()));
         *self.lock() = Some(owner);
@@ -288,9 +296,13 @@
             address: self.me.address,
         });
         // The sender lives as long as the actor.
-        let _ = has_ended.wait_for(|ended| *ended).await;
+        let ending = has_ended.wait_for(Option::is_some).await;
+        let cut_off = ending.is_ok_and(|ending| *ending == Some(Ending::CutOff));
         tasks.shutdown().await;
         *self.lock() = None;
+        if cut_off {
+            tokio::time::sleep(LET_OTHERS_FOLLOW).await;
+        }
     }
 
     /// Reads what is recorded, and meanwhile shows that the new owner lives; `None` where it is
@@ -309,7 +321,7 @@
                 () = tokio::time::sleep(HEARTBEAT) => {}
             }
             let nothing = Batch::default();
-            let beat = ledger.record(records, &nothing, false, &Unwatched);
+            let beat = ledger.record(records, &nothing, &[], false, &Unwatched);
             if beat
                 .await
                 .is_err_and(|error| error == RecordError::Overtaken)
@@ -378,11 +390,19 @@
 }
 
 async fn feed_workers(ports: OwnerPorts, owner: ActorRef<Owner>, version: u64) {
-    let mut version = version;
+    let mut version = Some(version);
+    let mut whole_at = ports.clock.now();
     loop {
-        match ports.feeds.workers(Some(version), WORKERS_WAIT).await {
+        // A feed whose history is cut may have passed over changes.
+        if ports.clock.now().since(whole_at) >= WHOLE_INTERVAL {
+            version = None;
+        }
+        match ports.feeds.workers(version, WORKERS_WAIT).await {
             Ok(news) => {
-                version = news.version;
+                version = Some(news.version);
+                if news.whole {
+                    whole_at = ports.clock.now();
+                }
                 let changed = news.whole || !news.items.is_empty();
                 if changed && owner.tell(Event::Workers(news)).await.is_err() {
                     return;
@@ -396,20 +416,26 @@
     }
 }
 
-async fn feed_handovers(ports: OwnerPorts, owner: ActorRef<Owner>, version: u64) {
-    let mut version = version;
+/// Tells the owner of handovers, first of those that its VM has `read` already.
+async fn feed_handovers(
+    ports: OwnerPorts,
+    owner: ActorRef<Owner>,
+    read: Vec<(WorkflowId, Handover)>,
+) {
+    let mut handovers = read;
     loop {
+        let found = !handovers.is_empty();
+        if found && owner.tell(Event::HandedOver(handovers)).await.is_err() {
+            return;
+        }
         tokio::time::sleep(HANDOVERS_INTERVAL).await;
-        match reader::read_handovers(&ports.records, version).await {
-            Ok(handovers) => {
-                version = handovers.version;
-                let found = !handovers.items.is_empty();
-                if found && owner.tell(Event::HandedOver(handovers)).await.is_err() {
-                    return;
-                }
+        handovers = match reader::read_handovers(&ports.records).await {
+            Ok(handovers) => handovers,
+            Err(error) => {
+                tracing::warn!(%error, "handovers cannot be read");
+                Vec::new()
             }
-            Err(error) => tracing::warn!(%error, version, "handovers cannot be read"),
-        }
+        };
     }
 }
 
--- a/tests/workflow/lifecycle.rs
+++ b/tests/workflow/lifecycle.rs
@@ -64,7 +64,12 @@
         world.run_for(100);
         world.submit(1, case.steps);
         world.run_for(20_000);
-        assert_eq!(world.state(1), Some(WorkflowState::Complete), "{}", case.name);
+        assert_eq!(
+            world.state(1),
+            Some(WorkflowState::Complete),
+            "{}",
+            case.name
+        );
         assert!(world.accepted.contains(&1), "{}", case.name);
         assert!(world.broken.is_empty(), "{}: {:?}", case.name, world.broken);
     }
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -316,7 +316,9 @@
                 target,
                 order,
             } => {
-                let answer = self.worker(&target).map(|fake| fake.look(&target, &order, now_ms));
+                let answer = self
+                    .worker(&target)
+                    .map(|fake| fake.look(&target, &order, now_ms));
                 let (at, answer) = answered(now_ms, answer);
                 self.later.push((at, Later::Look(worker, now_ms, answer)));
             }
@@ -328,7 +330,8 @@
                 let (task, run) = (order.task, order.run);
                 let answer = self.start(&target, &order);
                 let (at, answer) = answered(now_ms, answer);
-                self.later.push((at, Later::Start(worker, task, run, answer)));
+                self.later
+                    .push((at, Later::Start(worker, task, run, answer)));
             }
             Effect::Stop {
                 worker,
@@ -340,7 +343,8 @@
                     .worker(&target)
                     .map(|fake| fake.stop(&target, task, run, now_ms));
                 let (at, answer) = answered(now_ms, answer);
-                self.later.push((at, Later::Stop(worker, task, run, answer)));
+                self.later
+                    .push((at, Later::Stop(worker, task, run, answer)));
             }
             Effect::Ask {
                 step,
@@ -377,9 +381,10 @@
         let (now_ms, task_ms) = (self.now_ms, self.task_ms);
         let task = order.task;
         let need = self.need_of(task);
-        let elsewhere = self.workers.iter().any(|worker| {
-            worker.listing.name != target.name && worker.runs.contains_key(&task)
-        });
+        let elsewhere = self
+            .workers
+            .iter()
+            .any(|worker| worker.listing.name != target.name && worker.runs.contains_key(&task));
         let was_done = self.done.contains(&task);
         let fake = self.worker(target)?;
         let answer = fake.start(target, order, need, task_ms, now_ms);
@@ -390,10 +395,12 @@
                 self.broken.push(format!("{task} runs twice at {now_ms}"));
             }
             if was_done {
-                self.broken.push(format!("{task} starts after its end at {now_ms}"));
+                self.broken
+                    .push(format!("{task} starts after its end at {now_ms}"));
             }
             if !over {
-                self.broken.push(format!("{} is over its capacity", target.name));
+                self.broken
+                    .push(format!("{} is over its capacity", target.name));
             }
         }
         Some(answer)
