Record placements before starts, so that a new owner holds back only what may run

Ruled out: taking a refused connection as the end of a worker's process, as a cut may refuse connections too; shorter leases, which lapse while an owner is followed. Change: a run is placed, recorded with the next transaction, then started; a new owner waits only for tasks that were placed on workers that do not answer. Test: work that no earlier owner started begins at once though a worker is silent.

--- a/src/command/coordinate.rs
+++ b/src/command/coordinate.rs
@@ -6,14 +6,18 @@
 use std::time::Duration;
 
 use clap::ArgMatches;
+use hyper::Response;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::adapter::http::{Dropped, Limits, full, serve};
+use crate::coordinator::exposition::Exposition;
 use crate::coordinator::settings::CoordinatorSettings;
 use crate::coordinator::{Coordinator, Ports};
 use crate::error::{Error, Result};
 use crate::log;
+use crate::metrics::Metrics;
 use crate::platform::{
     AdviceService, HttpExecutors, Ingress, PlatformFeeds, PlatformRecords, serve_readiness,
 };
@@ -43,11 +47,14 @@
     let mut signals = Signals::new()?;
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
+    let metrics = listen(settings.metrics).await?;
+    let exposition = Exposition::default();
     let service = settings.permits.unwrap_or(settings.store);
     let ports = Ports {
         records: Arc::new(PlatformRecords::new(settings.store)),
         executors: Arc::new(HttpExecutors::default()),
         permits: Arc::new(AdviceService::new(service)),
+        metrics: Metrics::to_sink(exposition.clone()),
         feeds: |records| Arc::new(PlatformFeeds::new(records)),
     };
     let coordinator = Coordinator::start(settings, ports)?;
@@ -60,8 +67,9 @@
         readiness,
         coordinator.gateway(),
         stopping.clone(),
-        until(closed),
+        until(closed.clone()),
     ));
+    let measuring = tokio::spawn(serve_metrics(metrics, exposition, until(closed)));
     signals.stop_requested().await;
     let grace = Duration::from_secs_f64(settings.grace_s);
     tracing::info!(grace_ms = grace.as_millis(), "a planned stop begins");
@@ -69,7 +77,7 @@
     let open = grace.saturating_sub(STOP_MARGIN * 2);
     tokio::join!(coordinator.hand_over(), tokio::time::sleep(open));
     close.send_replace(true);
-    for task in [serving, answering] {
+    for task in [serving, answering, measuring] {
         if let Err(error) = task.await {
             tracing::error!(%error, "a listener failed");
         }
@@ -84,6 +92,19 @@
     listener.map_err(Error::io(&format!("listen on {address}")))
 }
 
+/// Serves metrics as text, until `stop`.
+async fn serve_metrics(
+    listener: TcpListener,
+    exposition: Exposition,
+    stop: impl Future<Output = ()>,
+) {
+    let handler = move |_req| {
+        let text = exposition.text();
+        async move { Ok::<_, Dropped>(Response::new(full(text))) }
+    };
+    serve(listener, Limits::default(), handler, stop).await;
+}
+
 async fn until(mut closed: watch::Receiver<bool>) {
     // A sender that is gone also means that the process ends.
     let _ = closed.wait_for(|closed| *closed).await;
--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -14,6 +14,7 @@
 use super::reader::{self, CALL_TIMEOUT};
 use super::seat::Seat;
 use crate::message::{Reply, Request};
+use crate::metrics::{Counter, Metrics, Timer};
 use crate::model::{QueueName, Time};
 use crate::node::clock::Clock;
 use crate::port::peer::{PeerError, SharedPeers};
@@ -71,6 +72,7 @@
     seat: Arc<Seat>,
     config: ArcSwap<Option<QueueConfig>>,
     clock: Clock,
+    metrics: Metrics,
 }
 
 impl Gateway {
@@ -80,6 +82,7 @@
         directory: Arc<Directory>,
         seat: Arc<Seat>,
         clock: Clock,
+        metrics: Metrics,
     ) -> Self {
         Self {
             records,
@@ -88,6 +91,7 @@
             seat,
             config: ArcSwap::from_pointee(None),
             clock,
+            metrics,
         }
     }
 
@@ -108,6 +112,7 @@
             queues = config.routes.len(),
             "a configuration is in force"
         );
+        self.metrics.count(Counter::ConfigApplied, 1);
         self.config.store(Arc::new(Some(config)));
         true
     }
@@ -122,9 +127,23 @@
         self.clock.now()
     }
 
+    /// Counts an answer to a call that began at `began`.
+    fn count(&self, began: Time, answer: Answer) {
+        self.metrics.count(Counter::Requests, 1);
+        match answer {
+            Answer::NotRun => self.metrics.count(Counter::RequestsRefused, 1),
+            Answer::Unknown => self.metrics.count(Counter::RequestsUnknown, 1),
+            Answer::Accepted => self.metrics.count(Counter::JobsAccepted, 1),
+            _ => {}
+        }
+        self.metrics
+            .time(Timer::RequestTime, self.now().since(began));
+    }
+
     /// Hands a workflow in; the answer comes within `limit`.
     pub async fn submit(&self, id: WorkflowId, spec: WorkflowSpec, limit: Duration) -> Answer {
-        let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
+        let began = self.now();
+        let deadline = began + limit.saturating_sub(ANSWER_MARGIN);
         let ask = Ask::Submit {
             id,
             spec: spec.clone(),
@@ -144,6 +163,7 @@
         };
         tracing::info!(request = %id, ?answer, owner = self.owner_epoch(),
             time_left_ms = left(deadline, self.now()).as_millis(), "a submission is answered");
+        self.count(began, answer);
         answer
     }
 
@@ -220,6 +240,13 @@
 
     /// How a workflow stands.
     pub async fn state(&self, id: WorkflowId, limit: Duration) -> Answer {
+        let began = self.now();
+        let answer = self.find_state(id, limit).await;
+        self.count(began, answer);
+        answer
+    }
+
+    async fn find_state(&self, id: WorkflowId, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
         if let Ok(Told::State(Some(state))) = self.ask_owner(Ask::State(id), deadline).await {
             return Answer::State(state);
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod desk;
 pub mod directory;
+pub mod exposition;
 pub mod gateway;
 mod handler;
 mod layout;
--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -16,6 +16,7 @@
 use super::settings::CoordinatorSettings;
 use crate::adapter::nng::{NngPeers, NngServer};
 use crate::error::Result;
+use crate::metrics::Metrics;
 use crate::node::clock::Clock;
 use crate::port::executor::Executors;
 use crate::port::feeds::SharedFeeds;
@@ -51,6 +52,8 @@
     pub executors: Arc<dyn Executors>,
     /// The service of permits.
     pub permits: SharedPermits,
+    /// Where counts and times go.
+    pub metrics: Metrics,
     /// Makes the feeds from the store as it is reached through other VMs too.
     pub feeds: fn(SharedRecords) -> SharedFeeds,
 }
@@ -94,6 +97,7 @@
             permits: ports.permits.clone(),
             peers: peers.clone(),
             directory: directory.clone(),
+            metrics: ports.metrics.clone(),
             clock,
         };
         let cfg = EngineConfig {
@@ -101,7 +105,14 @@
             stop_ms: settings.task_stop_ms,
         };
         let seat = Arc::new(Seat::new(me, cfg, owner_ports, queues));
-        let gateway = Gateway::new(records, peers, directory.clone(), seat.clone(), clock);
+        let gateway = Gateway::new(
+            records,
+            peers,
+            directory.clone(),
+            seat.clone(),
+            clock,
+            ports.metrics,
+        );
         let gateway = Arc::new(gateway);
         let handler = WorkflowHandler {
             seat: seat.clone(),
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -18,6 +18,7 @@
 use super::ledger::{Ledger, MAX_CHANGES, MAX_TAKEN, RecordError, Recording, StoreWatch};
 use super::message::{Ask, Told};
 use crate::message::{Reply, Request};
+use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::model::{QueueName, Time, WorkerName};
 use crate::node::clock::Clock;
 use crate::port::executor::{
@@ -77,6 +78,7 @@
     pub(super) permits: SharedPermits,
     pub(super) peers: SharedPeers,
     pub(super) directory: Arc<Directory>,
+    pub(super) metrics: Metrics,
     pub(super) clock: Clock,
 }
 
@@ -317,6 +319,7 @@
     fn tick(&mut self, now: Time) {
         let vms = self.ports.directory.members(now);
         let vms: Vec<SocketAddr> = vms.into_iter().map(|member| member.address).collect();
+        self.ports.metrics.gauge(Gauge::VmsLive, vms.len() as u64);
         self.desk.set_vms(&vms);
         self.engine.set_askers(vms.len());
         if self.releasing.is_none() && self.is_cut_off(now) {
@@ -384,11 +387,18 @@
 
     fn recorded(&mut self, recorded: Recorded, now: Time) {
         let batch = &recorded.batch;
+        let metrics = &self.ports.metrics;
+        metrics.time(Timer::TableCommitTime, now.since(self.last_commit));
+        match &recorded.recording {
+            Ok(_) => metrics.count(Counter::TableCommits, 1),
+            Err(RecordError::Overtaken) => metrics.count(Counter::TableConflicts, 1),
+            Err(RecordError::NotDone) => metrics.count(Counter::TableErrors, 1),
+        }
         let released = recorded.ledger.owner.released;
         self.ledger = Some(recorded.ledger);
         match recorded.recording {
             Ok(recording) => {
-                self.engine.committed(batch, &recording.existing);
+                self.engine.committed(batch, &recording.existing, now);
                 for key in &recorded.taken {
                     self.taken.remove(key);
                 }
@@ -476,6 +486,7 @@
         now: Time,
     ) {
         let (executors, me) = (self.ports.executors.clone(), me.clone());
+        self.ports.metrics.count(Counter::WorkerCalls, 1);
         tokio::spawn(async move {
             let answer = executors.look(&target, &order).await;
             let _ = me.tell(Event::Looked(worker, now, answer)).await;
@@ -490,6 +501,8 @@
         order: StartOrder,
     ) {
         let (executors, me) = (self.ports.executors.clone(), me.clone());
+        self.ports.metrics.count(Counter::TasksPlaced, 1);
+        self.ports.metrics.count(Counter::WorkerCalls, 1);
         tokio::spawn(async move {
             let answer = executors.start(&target, &order).await;
             let event = Event::Started(worker, order.task, order.run, answer);
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -13,6 +13,7 @@
 use super::owner::{Ending, Event, HEARTBEAT, Owner, OwnerPorts};
 use super::reader::{self, Recorded};
 use crate::message::{Reply, Request};
+use crate::metrics::Counter;
 use crate::model::Time;
 use crate::port::feeds::{News, WorkerChange};
 use crate::port::records::StoreError;
@@ -274,6 +275,7 @@
             engine.load(id, record, &progress, now);
         }
         tracing::info!(epoch, workflows, "the recorded workflows are taken up");
+        self.ports.metrics.count(Counter::ShardsTaken, 1);
         let (ended, mut has_ended) = watch::channel(None);
         let owner = Owner::new(engine, ledger, self.ports.clone(), ended);
         let owner = Owner::spawn(owner);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
-use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
+use cadence::{BufferedUdpMetricSink, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 
 use crate::error::{Error, Result};
 use crate::model::VmName;
@@ -179,6 +179,13 @@
         spawned.map(drop).map_err(Error::io("metrics thread"))
     }
 
+    /// Hands them to `sink`, without a prefix.
+    pub fn to_sink(
+        sink: impl MetricSink + Sync + Send + std::panic::RefUnwindSafe + 'static,
+    ) -> Self {
+        Self::with_client(StatsdClient::from_sink("", sink))
+    }
+
     /// Sends none.
     ///
     /// # Examples
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -5,7 +5,7 @@
 
 use super::fleet::WorkerKey;
 use super::policy::QueuePolicy;
-use super::record::{Progress, StepProgress, WorkflowState};
+use super::record::{PlacedRun, Progress, StepProgress, WorkflowState};
 use super::spec::{StepSpec, WorkflowSpec};
 use crate::model::{Time, WorkerName};
 
@@ -27,6 +27,8 @@
     pub(super) checkpoint: Option<String>,
     /// It is not started again before this time.
     pub(super) not_before: Time,
+    /// The worker on which an earlier owner may have started it, until it is known what runs there.
+    pub(super) suspect: Option<WorkerName>,
 }
 
 /// A permit that was granted to a step.
@@ -73,15 +75,23 @@
             },
             checkpoint: None,
             not_before: now,
+            suspect: None,
         };
-        let tasks: Vec<TaskRun> = (0..spec.tasks).map(task).collect();
+        let mut tasks: Vec<TaskRun> = (0..spec.tasks).map(task).collect();
+        let mut last_run = 0;
+        for placed in &progress.placed {
+            last_run = last_run.max(placed.run);
+            if let Some(task) = tasks.get_mut(placed.index as usize) {
+                task.suspect = Some(placed.worker.clone());
+            }
+        }
         let left = tasks.iter().filter(|task| task.place != Place::Done);
         let left = u32::try_from(left.count()).unwrap_or(u32::MAX);
         Self {
             tasks,
             left,
             progress,
-            last_run: 0,
+            last_run,
             permits: StepPermits::default(),
         }
     }
@@ -143,8 +153,6 @@
     pub(super) due: Time,
     /// Whether its record is in the store.
     pub(super) recorded: bool,
-    /// Whether an earlier owner may have started some of it.
-    pub(super) inherited: bool,
     pub(super) started: bool,
     pub(super) cancelled: bool,
     pub(super) failed: bool,
@@ -163,7 +171,6 @@
             due: now + policy.objective(spec.chain_ms()),
             spec: Arc::new(spec),
             recorded: false,
-            inherited: false,
             started: false,
             cancelled: false,
             failed: false,
@@ -229,16 +236,27 @@
         self.is_done().then_some(WorkflowState::Complete)
     }
 
-    /// What the store is told about it.
-    pub(super) fn progress(&self) -> Progress {
-        let told =
-            |run: &StepRun| !run.progress.done.is_empty() || !run.progress.failures.is_empty();
-        let steps = self.steps.iter().filter(|(_, run)| told(run));
+    /// What the store is told about it; `name` gives the names of workers.
+    pub(super) fn progress(&self, name: impl Fn(WorkerKey) -> Option<WorkerName>) -> Progress {
+        let steps = self.steps.iter().map(|(key, run)| {
+            let placed = run.placed().into_iter().filter_map(|(index, worker, run)| {
+                let worker = name(worker)?;
+                Some(PlacedRun { index, run, worker })
+            });
+            let suspect = run.tasks.iter().zip(0u32..).filter_map(|(task, index)| {
+                let worker = task.suspect.clone()?;
+                let run = run.last_run;
+                Some(PlacedRun { index, run, worker })
+            });
+            let placed = placed.chain(suspect).collect();
+            let progress = run.progress.clone();
+            (*key, StepProgress { placed, ..progress })
+        });
         Progress {
             cancelled: self.cancelled,
             failed: self.failed,
             steps: steps
-                .map(|(key, run)| (*key, run.progress.clone()))
+                .filter(|(_, step)| *step != StepProgress::default())
                 .collect(),
         }
     }
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -3,10 +3,11 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use super::{Effect, Engine, Token};
+use crate::model::Time;
 use crate::port::executor::WorkerListing;
 use crate::workflow::fleet::WorkerKey;
 use crate::workflow::record::{Progress, WorkflowRecord, WorkflowState};
-use crate::workflow::spec::WorkflowId;
+use crate::workflow::spec::{TaskId, WorkflowId};
 
 /// Ends of a worker that are taken note of once a batch is recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +29,8 @@
     /// All workers that tasks may run on, where that changed.
     pub workers: Option<Vec<WorkerListing>>,
     marks: Vec<EndsMark>,
+    /// Runs that are placed; their starts follow.
+    starts: Vec<(WorkerKey, TaskId, u32)>,
 }
 
 impl Batch {
@@ -49,6 +52,7 @@
     cancellers: HashMap<WorkflowId, Vec<Token>>,
     workers_changed: bool,
     in_flight: bool,
+    assigned: Vec<(WorkerKey, TaskId, u32)>,
 }
 
 impl Journal {
@@ -65,6 +69,11 @@
         self.cancellers.entry(id).or_default().push(token);
     }
 
+    pub(super) fn assign(&mut self, worker: WorkerKey, task: TaskId, run: u32) {
+        self.assigned.push((worker, task, run));
+        self.touch(task.step.workflow);
+    }
+
     pub(super) fn touch(&mut self, id: WorkflowId) {
         self.touched.insert(id);
     }
@@ -99,6 +108,7 @@
             batch.workers = Some(workers.collect());
         }
         self.take_touched(&mut batch, most);
+        self.take_assigned(&mut batch);
         self.take_added(&mut batch, most);
         if batch.is_empty() {
             return None;
@@ -124,11 +134,31 @@
             self.journal.touched.remove(&id);
             match active.end() {
                 Some(state) => batch.ended.push((id, state)),
-                None => batch.progress.push((id, active.progress())),
+                None => {
+                    let name = |key| {
+                        let worker = self.fleet.get(key);
+                        worker.map(|worker| worker.listing.name.clone())
+                    };
+                    batch.progress.push((id, active.progress(name)));
+                }
             }
         }
     }
 
+    /// Takes the runs whose placement the batch records.
+    fn take_assigned(&mut self, batch: &mut Batch) {
+        let recorded: HashSet<WorkflowId> = batch.progress.iter().map(|(id, _)| *id).collect();
+        let assigned = std::mem::take(&mut self.journal.assigned).into_iter();
+        let (taken, left) =
+            assigned.partition(|(_, task, _)| recorded.contains(&task.step.workflow));
+        batch.starts = taken;
+        self.journal.assigned = left;
+        // A workflow that has ended or is gone starts nothing more.
+        let active = &self.active;
+        let waits = |task: &TaskId| active.contains_key(&task.step.workflow);
+        self.journal.assigned.retain(|(_, task, _)| waits(task));
+    }
+
     fn take_added(&mut self, batch: &mut Batch, most: usize) {
         let room = most.saturating_sub(batch.progress.len() + batch.ended.len());
         while batch.added.len() < room {
@@ -174,8 +204,14 @@
     }
 
     /// Notes that the batch is recorded. `existing` are the new workflows that had a record before.
-    pub fn committed(&mut self, batch: &Batch, existing: &[(WorkflowId, WorkflowRecord)]) {
+    pub fn committed(
+        &mut self,
+        batch: &Batch,
+        existing: &[(WorkflowId, WorkflowRecord)],
+        now: Time,
+    ) {
         self.journal.in_flight = false;
+        self.send_starts(&batch.starts, now);
         for (id, _) in &batch.added {
             self.recorded(*id, existing);
         }
@@ -200,6 +236,7 @@
         for (id, _) in &batch.progress {
             self.journal.touch(*id);
         }
+        self.journal.assigned.extend(&batch.starts);
         for (id, _) in &batch.ended {
             self.journal.touch(*id);
         }
--- a/src/workflow/engine/intake.rs
+++ b/src/workflow/engine/intake.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Effect, Engine, Recovery, Token};
-use crate::model::Time;
+use crate::model::{Time, WorkerName};
 use crate::workflow::active::Active;
 use crate::workflow::fleet::{WorkerKey, as_millis};
 use crate::workflow::record::{Progress, WorkflowRecord, WorkflowState};
@@ -121,7 +121,6 @@
         self.add(id, spec, progress, now);
         if let Some(active) = self.active.get_mut(&id) {
             active.recorded = true;
-            active.inherited = self.recovery.is_some();
             active.cancelled = progress.cancelled;
             active.failed = progress.failed;
             if active.end().is_some() {
@@ -148,9 +147,28 @@
     }
 
     /// Notes that what runs on the worker is known.
-    pub(super) fn recovered(&mut self, worker: WorkerKey) {
-        if let Some(recovery) = &mut self.recovery {
-            recovery.waiting.remove(&worker);
+    pub(super) fn recovered(&mut self, key: WorkerKey) {
+        let Some(recovery) = &mut self.recovery else {
+            return;
+        };
+        if !recovery.waiting.remove(&key) {
+            return;
+        }
+        if let Some(worker) = self.fleet.get(key) {
+            let name = worker.listing.name.clone();
+            self.clear_suspects(Some(&name));
+            self.place_due = true;
+        }
+    }
+
+    /// Notes that an earlier owner's starts on the worker, or on any, have shown or are over.
+    fn clear_suspects(&mut self, worker: Option<&WorkerName>) {
+        let runs = self.active.values_mut();
+        let tasks = runs.flat_map(|active| active.steps.values_mut());
+        for task in tasks.flat_map(|run| run.tasks.iter_mut()) {
+            if worker.is_none() || task.suspect.as_ref() == worker {
+                task.suspect = None;
+            }
         }
     }
 
@@ -168,9 +186,7 @@
             "what an earlier owner started is known"
         );
         self.recovery = None;
-        for active in self.active.values_mut() {
-            active.inherited = false;
-        }
+        self.clear_suspects(None);
         self.stop_broken_gangs(now);
         self.place_due = true;
     }
--- a/src/workflow/engine/looks.rs
+++ b/src/workflow/engine/looks.rs
@@ -56,8 +56,10 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        let settled =
-            |held: &HeldRun| matches!(held.state, RunState::Starting | RunState::Running(_));
+        let settled = |held: &HeldRun| {
+            use RunState::{Assigned, Running, Starting};
+            matches!(held.state, Assigned | Starting | Running(_))
+        };
         let may_wait = worker.introduced
             && worker.unknown_runs == 0
             && !worker.is_failing()
@@ -211,7 +213,9 @@
             return false;
         };
         match held.state {
-            RunState::Starting | RunState::Unclear(_) => held.state = RunState::Running(now),
+            RunState::Assigned | RunState::Starting | RunState::Unclear(_) => {
+                held.state = RunState::Running(now);
+            }
             RunState::Running(_) => {}
             RunState::Stopping { sent, .. } if now.since(sent) >= STOP_AGAIN => {
                 held.state = RunState::Stopping {
@@ -251,6 +255,7 @@
             return false;
         }
         known.place = Place::On(key, running.run);
+        known.suspect = None;
         known.checkpoint.clone_from(&running.checkpoint);
         step.last_run = step.last_run.max(running.run);
         active.started = true;
@@ -259,7 +264,6 @@
             reserved: spec.reserved(),
             state: RunState::Running(now),
             priority,
-            expected_end: now,
             estimate_ms: 0,
             started: now,
         };
@@ -293,7 +297,7 @@
         for (task, held) in missing {
             match held.state {
                 // The look may have overtaken the start.
-                RunState::Starting => {}
+                RunState::Assigned | RunState::Starting => {}
                 RunState::Running(since) if since >= sent => {}
                 RunState::Unclear(since) if since >= sent => {}
                 RunState::Unclear(_) => self.stop_run(key, task, held.run, now),
--- a/src/workflow/engine/orders.rs
+++ b/src/workflow/engine/orders.rs
@@ -24,8 +24,8 @@
         }
     }
 
-    /// Sends the start of one run; the room must have been checked.
-    pub(super) fn start_run(
+    /// Gives a run its room, which must have been checked; its start is sent once that is recorded.
+    pub(super) fn assign_run(
         &mut self,
         key: WorkerKey,
         task: TaskId,
@@ -33,7 +33,6 @@
         spec: &StepSpec,
         now: Time,
     ) {
-        let lease_ms = self.cfg.lease_ms;
         let Some(active) = self.active.get_mut(&task.step.workflow) else {
             return;
         };
@@ -43,7 +42,6 @@
         else {
             return;
         };
-        let permit = step.permits.held.get(&key).map(|held| held.token.clone());
         step.last_run = step.last_run.max(run);
         let Some(known) = step.tasks.get_mut(task.index as usize) else {
             return;
@@ -51,32 +49,77 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        let Some(lease_until_ms) = worker.lease_until(lease_ms, now) else {
-            return;
-        };
         known.place = Place::On(key, run);
-        let order = StartOrder {
-            task,
-            run,
-            payload: active.payload.clone(),
-            lease_until_ms,
-            checkpoint: known.checkpoint.clone(),
-            permit,
-        };
-        active.started = true;
         let priority = active.policy.priority;
         worker.hold(
             task,
             HeldRun {
                 run,
                 reserved: spec.reserved(),
-                state: RunState::Starting,
+                state: RunState::Assigned,
                 priority,
-                expected_end: now + Duration::from_millis(u64::from(spec.estimate_ms)),
                 estimate_ms: spec.estimate_ms,
                 started: now,
             },
         );
+        self.journal.assign(key, task, run);
+    }
+
+    /// Sends the starts of runs that are recorded now, unless they were given up meanwhile.
+    pub(super) fn send_starts(&mut self, starts: &[(WorkerKey, TaskId, u32)], now: Time) {
+        for (key, task, run) in starts {
+            let worker = self.fleet.get(*key);
+            let held = worker.and_then(|worker| worker.runs.get(task));
+            let assigned =
+                held.is_some_and(|held| held.run == *run && held.state == RunState::Assigned);
+            if !assigned {
+                continue;
+            }
+            let usable = worker.is_some_and(|worker| worker.is_usable(now));
+            if !usable || !self.start_run(*key, *task, *run, now) {
+                self.withdraw(*key, *task, now + REJECTED_PAUSE);
+            }
+        }
+    }
+
+    /// Sends the start of one run; false where it cannot be sent any more.
+    fn start_run(&mut self, key: WorkerKey, task: TaskId, run: u32, now: Time) -> bool {
+        let lease_ms = self.cfg.lease_ms;
+        let needs_permit = self.needs_permit(task.step);
+        let Some(active) = self.active.get_mut(&task.step.workflow) else {
+            return false;
+        };
+        let step = active.steps.get(&(task.step.occurrence, task.step.step));
+        let Some(step) = step else {
+            return false;
+        };
+        let Some(worker) = self.fleet.get_mut(key) else {
+            return false;
+        };
+        let permit = step.permits.held.get(&key);
+        let permit = permit.filter(|held| held.until > now && held.boot == worker.listing.boot);
+        let permit = permit.map(|held| held.token.clone());
+        let known = step.tasks.get(task.index as usize);
+        let lease_until_ms = worker.lease_until(lease_ms, now);
+        let (Some(known), Some(lease_until_ms)) = (known, lease_until_ms) else {
+            return false;
+        };
+        if needs_permit && permit.is_none() {
+            return false;
+        }
+        let order = StartOrder {
+            task,
+            run,
+            payload: active.payload.clone(),
+            lease_until_ms,
+            checkpoint: known.checkpoint.clone(),
+            permit,
+        };
+        active.started = true;
+        if let Some(held) = worker.runs.get_mut(&task) {
+            held.state = RunState::Starting;
+            held.started = now;
+        }
         let name = worker.listing.name.clone();
         tracing::info!(
             request = %task.step.workflow,
@@ -96,6 +139,7 @@
                 order,
             });
         }
+        true
     }
 
     /// Orders the stop of a run that holds room on the worker; also of one that may still arrive.
@@ -109,6 +153,10 @@
         if matches!(held.state, RunState::Stopping { .. }) {
             return;
         }
+        if held.state == RunState::Assigned {
+            self.withdraw(key, task, now);
+            return;
+        }
         held.state = RunState::Stopping {
             sent: now,
             answered: None,
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -44,9 +44,6 @@
             self.ready.remove(&key);
             return;
         }
-        if self.recovery.is_some() && active.inherited {
-            return;
-        }
         let Some(spec) = active.spec.clone().steps.get(id.step as usize).cloned() else {
             return;
         };
@@ -66,7 +63,10 @@
             return false;
         };
         let all_waiting = run.waiting();
-        let ready = all_waiting.filter(|index| run.tasks[*index as usize].not_before <= now);
+        let ready = all_waiting.filter(|index| {
+            let task = &run.tasks[*index as usize];
+            task.not_before <= now && task.suspect.is_none()
+        });
         let ready: Vec<u32> = ready.collect();
         let waiting = run.waiting().count();
         if spec.gang && ready.len() < run.tasks.len() {
@@ -86,7 +86,7 @@
         }
         let started = slots.len();
         for (index, worker) in ready.into_iter().zip(slots) {
-            self.start_run(worker, id.task(index), number, spec, now);
+            self.assign_run(worker, id.task(index), number, spec, now);
         }
         started == waiting
     }
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -40,6 +40,8 @@
 /// How a run on a worker stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunState {
+    /// It is not recorded yet, and its start is not sent.
+    Assigned,
     /// The start is on its way.
     Starting,
     /// The worker has said that it runs; the time is when it said so.
@@ -63,8 +65,6 @@
     pub(super) state: RunState,
     /// The priority of its queue; 0 is the most urgent.
     pub(super) priority: u8,
-    /// When it is expected to end.
-    pub(super) expected_end: Time,
     pub(super) estimate_ms: u32,
     pub(super) started: Time,
 }
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::spec::WorkflowSpec;
+use crate::model::WorkerName;
 
 /// The format of the records; a record of another format is not read.
 const FORMAT: u8 = 1;
@@ -46,6 +47,19 @@
     pub done: Vec<u64>,
     /// Tasks that have failed.
     pub failures: Vec<TaskFailures>,
+    /// Runs that may be on workers. A start is sent once this is recorded.
+    pub placed: Vec<PlacedRun>,
+}
+
+/// A run that may be on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedRun {
+    /// The task.
+    pub index: u32,
+    /// The run.
+    pub run: u32,
+    /// The worker.
+    pub worker: WorkerName,
 }
 
 /// How often a task has failed.
--- a/tests/workflow/takeover.rs
+++ b/tests/workflow/takeover.rs
@@ -177,3 +177,29 @@
         }
     }
 }
+
+#[test]
+fn work_that_no_earlier_owner_started_begins_at_once_though_a_worker_is_silent() {
+    let mut world = World::new(2, false);
+    world.task_ms = 60_000;
+    world.run_for(100);
+    world.submit(1, vec![step(1, 4_000)]);
+    world.submit(2, vec![step(1, 4_000)]);
+    world.run_for(200);
+    world.submit(3, vec![step(1, 4_000)]);
+    world.run_for(100);
+    let running = |world: &World| {
+        let on = world.workers.iter().map(|worker| worker.running());
+        on.sum::<usize>()
+    };
+    assert_eq!((world.starts.len(), running(&world)), (2, 2));
+    world.workers[0].silent = true;
+    world.restart_worker(1);
+    world.take_over(true);
+    let taken_at = world.now_ms;
+    world.run_for(1_000);
+    let again = world.starts.last().unwrap();
+    assert_eq!(world.starts.len(), 3, "{:?}", world.starts);
+    assert!(again.0 > taken_at && again.0 < taken_at + 500, "{again:?}");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -305,7 +305,8 @@
         if let Some(workers) = &batch.workers {
             self.known_workers.clone_from(workers);
         }
-        self.engine.committed(batch, &existing);
+        let now = self.now();
+        self.engine.committed(batch, &existing, now);
     }
 
     fn carry_out(&mut self, effect: Effect) {
