Fill batches by entries and keep a part of each worker for urgent work

Ruled out: more transactions at once, since each is conditional on the one before. Change: a batch takes up to 89 entries, half of them for new workflows first; steps that are no gangs leave 11 % of each worker's processors to urgent queues. The setting task_stop_ms goes, as nothing used it.

--- a/src/coordinator/ledger.rs
+++ b/src/coordinator/ledger.rs
@@ -15,12 +15,12 @@
 /// Before a transaction without a result is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// The most changes in one batch: a transaction holds at most 100 entries, three are the owner's and
-/// that of the list of workers, and a new workflow takes two.
-pub(super) const MAX_CHANGES: usize = 40;
+/// The most entries of a batch: a transaction holds at most 100, of which the owner's record takes two,
+/// the list of workers one, and handovers that are removed [`MAX_TAKEN`].
+pub(super) const MAX_ENTRIES: usize = 97 - MAX_TAKEN;
 
-/// The most handovers that are removed with one batch: what [`MAX_CHANGES`] leaves.
-pub(super) const MAX_TAKEN: usize = 16;
+/// The most handovers that are removed with one batch.
+pub(super) const MAX_TAKEN: usize = 8;
 
 /// How often a transaction that the store did not take is sent, so that a short disturbance refuses
 /// nothing and a longer one is noticed within a quarter of the shortest objective of 250 ms.
--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -102,7 +102,6 @@
         };
         let cfg = EngineConfig {
             lease_ms: LEASE_MS.min(settings.lease_max_ms),
-            stop_ms: settings.task_stop_ms,
         };
         let seat = Arc::new(Seat::new(me, cfg, owner_ports, queues));
         let gateway = Gateway::new(
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -15,7 +15,7 @@
 use super::desk::{Desk, Question};
 use super::directory::Directory;
 use super::layout::{self, Handover};
-use super::ledger::{Ledger, MAX_CHANGES, MAX_TAKEN, RecordError, Recording, StoreWatch};
+use super::ledger::{Ledger, MAX_ENTRIES, MAX_TAKEN, RecordError, Recording, StoreWatch};
 use super::message::{Ask, Told};
 use crate::message::{Reply, Request};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
@@ -536,7 +536,7 @@
         if self.ledger.is_none() || (waited < interval && !releasing) {
             return;
         }
-        let batch = self.engine.take_batch(MAX_CHANGES);
+        let batch = self.engine.take_batch(MAX_ENTRIES);
         if batch.is_none() && waited < HEARTBEAT && !releasing {
             return;
         }
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -34,8 +34,6 @@
     pub permits: Option<SocketAddr>,
     /// The longest lease that workers grant, in milliseconds.
     pub lease_max_ms: u64,
-    /// How long a worker may take to stop a task, in milliseconds.
-    pub task_stop_ms: u64,
     /// How long a planned stop may take before the process is killed, in seconds.
     pub grace_s: f64,
     /// The level of logs, in the syntax of `RUST_LOG`.
--- a/src/workflow/engine/asks.rs
+++ b/src/workflow/engine/asks.rs
@@ -92,6 +92,8 @@
         now: Time,
     ) -> (Vec<WorkerName>, Room) {
         let mut room = Room::default();
+        let active = self.active.get(&step.workflow);
+        let priority = active.map_or(u8::MAX, |active| active.policy.priority);
         let mut named: Vec<(u32, &WorkerName)> = Vec::new();
         for (_, worker) in self.fleet.iter() {
             let name = &worker.listing.name;
@@ -103,7 +105,7 @@
             if !worker.is_usable(now) || !self.suits(worker, step, spec) {
                 continue;
             }
-            let fits = worker.fits(&spec.reserved(), spec.tasks);
+            let fits = self.fits(worker, spec, priority, spec.tasks);
             if fits > 0 {
                 room.most += fits;
                 room.expected += f64::from(fits) * chance;
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -34,6 +34,12 @@
 }
 
 impl Batch {
+    /// How many entries of a transaction it takes: a new workflow a condition and a record, one that
+    /// has ended a record and a removal.
+    fn entries(&self) -> usize {
+        2 * (self.added.len() + self.ended.len()) + self.progress.len()
+    }
+
     /// Whether there is nothing to record.
     pub fn is_empty(&self) -> bool {
         self.added.is_empty()
@@ -97,7 +103,8 @@
         !journal.added.is_empty() || !journal.touched.is_empty() || journal.workers_changed
     }
 
-    /// Takes up to about `most` changes to record together, unless a batch is under way.
+    /// Takes changes to record together, unless a batch is under way. They take up to `most` entries of
+    /// a transaction, and one more where the list of workers changed.
     pub fn take_batch(&mut self, most: usize) -> Option<Batch> {
         if self.journal.in_flight || !self.has_changes() {
             return None;
@@ -107,6 +114,8 @@
             let workers = self.fleet.iter().map(|(_, worker)| worker.listing.clone());
             batch.workers = Some(workers.collect());
         }
+        // Half is for new workflows, so that a slow store does not keep callers waiting.
+        self.take_added(&mut batch, most / 2);
         self.take_touched(&mut batch, most);
         self.take_assigned(&mut batch);
         self.take_added(&mut batch, most);
@@ -122,7 +131,10 @@
 
     fn take_touched(&mut self, batch: &mut Batch, most: usize) {
         let touched: Vec<WorkflowId> = self.journal.touched.iter().copied().collect();
-        for id in touched.into_iter().take(most) {
+        for id in touched {
+            if batch.entries() + 2 > most {
+                return;
+            }
             // A workflow whose own record is not written yet waits for that.
             let Some(active) = self.active.get(&id) else {
                 self.journal.touched.remove(&id);
@@ -160,8 +172,7 @@
     }
 
     fn take_added(&mut self, batch: &mut Batch, most: usize) {
-        let room = most.saturating_sub(batch.progress.len() + batch.ended.len());
-        while batch.added.len() < room {
+        while batch.entries() + 2 <= most {
             let Some(id) = self.journal.added.pop_front() else {
                 return;
             };
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -11,6 +11,10 @@
 /// The priority of work for which someone waits.
 const URGENT: u8 = 0;
 
+/// The part of each worker's processors that only urgent tasks use, in percent: the share that they
+/// bring of the work on the users' sites, 86 of 768 cores.
+const URGENT_SHARE_PERCENT: u32 = 11;
+
 /// A worker that may take tasks of a step, and how many.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -116,7 +120,7 @@
             let most = spec
                 .max_per_worker
                 .map_or(u32::MAX, |most| most.saturating_sub(run.count_on(key)));
-            let fits = worker.fits(&spec.reserved(), most.min(spec.tasks));
+            let fits = self.fits(worker, spec, priority, most.min(spec.tasks));
             if fits > 0 {
                 let rank = rank(worker, spec, priority);
                 candidates.push(Candidate {
@@ -130,6 +134,19 @@
         candidates
     }
 
+    /// How many tasks of the step fit on the worker, up to `most`. Where a queue is urgent, other
+    /// queues leave a part of each worker to it; gangs do not, since few workers may be permitted
+    /// for them.
+    pub(super) fn fits(&self, worker: &Worker, spec: &StepSpec, priority: u8, most: u32) -> u32 {
+        let urgent = self.queues.values().any(|queue| queue.priority == URGENT);
+        let kept = if urgent && priority != URGENT && !spec.gang {
+            URGENT_SHARE_PERCENT
+        } else {
+            0
+        };
+        worker.fits(&spec.reserved(), kept, most)
+    }
+
     /// Whether the worker belongs to the step's service and has the label that it requires.
     pub(super) fn suits(&self, worker: &Worker, id: StepId, spec: &StepSpec) -> bool {
         let Some(active) = self.active.get(&id.workflow) else {
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -152,9 +152,20 @@
         self.listing.capacity.minus(&self.reserved)
     }
 
-    /// How many tasks of this size fit, up to `most`.
-    pub(super) fn fits(&self, need: &Resources, most: u32) -> u32 {
-        let room = self.room();
+    /// How many tasks of this size fit, up to `most`, if a part of the processors is kept free; a
+    /// task that is too large for the rest may use the whole worker.
+    pub(super) fn fits(&self, need: &Resources, kept_percent: u32, most: u32) -> u32 {
+        let whole = self.listing.capacity.cpu_milli;
+        let kept = whole / 100 * kept_percent;
+        let kept = if need.cpu_milli > whole - kept {
+            0
+        } else {
+            kept
+        };
+        let room = self.room().minus(&Resources {
+            cpu_milli: kept,
+            ..Resources::default()
+        });
         let share = |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
         let cpu = share(room.cpu_milli, need.cpu_milli);
         let memory = share(room.memory_mib, need.memory_mib);
--- a/src/workflow/policy.rs
+++ b/src/workflow/policy.rs
@@ -56,6 +56,4 @@
 pub struct EngineConfig {
     /// How long tasks go on at a worker without renewal, in milliseconds.
     pub lease_ms: u64,
-    /// How long a stop of a task may take, in milliseconds.
-    pub stop_ms: u64,
 }
--- a/tests/workflow/lifecycle.rs
+++ b/tests/workflow/lifecycle.rs
@@ -183,3 +183,21 @@
     assert_eq!(world.starts.len(), 2);
     assert_eq!(world.state(1), Some(WorkflowState::Complete));
 }
+
+#[test]
+fn a_gang_may_use_whole_workers_though_a_part_is_kept_for_urgent_work() {
+    let mut world = World::new(2, true);
+    let urgent = world.queue.clone();
+    world.queue.name = chestnutlug::model::QueueName::new("rebuild");
+    world.queue.priority = 1;
+    let queues = vec![urgent, world.queue.clone()];
+    world.engine.set_queues(queues);
+    world.run_for(100);
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 2_000)
+    };
+    world.submit(1, vec![gang]);
+    world.run_for(5_000);
+    assert_eq!(world.state(1), Some(WorkflowState::Complete));
+}
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -240,7 +240,7 @@
             self.carry_out(effect);
         }
         if !self.committing
-            && let Some(batch) = self.engine.take_batch(48)
+            && let Some(batch) = self.engine.take_batch(89)
         {
             self.committing = true;
             let later = if self.store_refuses {
@@ -440,10 +440,7 @@
 }
 
 fn config() -> EngineConfig {
-    EngineConfig {
-        lease_ms: LEASE_MS,
-        stop_ms: 400,
-    }
+    EngineConfig { lease_ms: LEASE_MS }
 }
 
 /// When an answer arrives: after the way back, or its absence after the timeout.
