Split the owner's errands and its view of the store; read a step in one place

Ruled out: any change of behaviour; the code is moved. Change: errands.rs (orders and questions), health.rs (how the store serves), Engine::step_mut.

--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -7,9 +7,11 @@
 
 pub mod desk;
 pub mod directory;
+mod errands;
 pub mod exposition;
 pub mod gateway;
 mod handler;
+mod health;
 mod layout;
 mod ledger;
 pub mod message;
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use kameo::Actor;
@@ -14,20 +13,18 @@
 
 use super::desk::{Desk, Question};
 use super::directory::Directory;
+use super::health::Health;
 use super::layout::{self, Handover};
-use super::ledger::{Ledger, MAX_ENTRIES, MAX_TAKEN, RecordError, Recording, StoreWatch};
-use super::message::{Ask, Told};
-use crate::message::{Reply, Request};
+use super::ledger::{Ledger, MAX_ENTRIES, MAX_TAKEN, RecordError, Recording};
+use super::message::Told;
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::model::{QueueName, Time, WorkerName};
 use crate::node::clock::Clock;
-use crate::port::executor::{
-    ExecutorError, Executors, LookOrder, LookReport, PermitError, Permits, StartOrder, WorkerTarget,
-};
+use crate::port::executor::{ExecutorError, Executors, LookReport, PermitError, Permits};
 use crate::port::feeds::{News, SharedFeeds, WorkerChange};
 use crate::port::peer::SharedPeers;
 use crate::port::permits::SharedPermits;
-use crate::port::records::{RecordKey, SharedRecords, StoreError};
+use crate::port::records::{RecordKey, SharedRecords};
 use crate::workflow::record::{Progress, WorkflowState};
 use crate::workflow::{
     Batch, Cancelling, Effect, Engine, QueuePolicy, StepId, Submission, TaskId, Token, WorkerKey,
@@ -51,10 +48,6 @@
 /// shortest objective of a queue, beyond which a refusal counts as late.
 const REFUSE_AFTER_MS: u64 = 200;
 
-/// Added to the time that the service of permits takes for a question, for the way there and for
-/// one question of this VM that is still under way.
-const PERMIT_TIMEOUT_MS: u64 = 800;
-
 /// An owner that no other VM tells that it lives for so long gives up: several pings.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -132,59 +125,14 @@
     Pending(QueueName),
 }
 
-/// How the store serves the owner.
-#[derive(Debug)]
-struct Health {
-    clock: Clock,
-    failing: AtomicBool,
-    since_ms: AtomicU64,
-}
-
-impl Health {
-    fn new(clock: Clock) -> Self {
-        Self {
-            clock,
-            failing: AtomicBool::new(false),
-            since_ms: AtomicU64::new(0),
-        }
-    }
-
-    fn now_ms(&self) -> u64 {
-        self.clock.now().0 / 1_000
-    }
-
-    /// How long the store has failed, in milliseconds.
-    fn failing_ms(&self) -> Option<u64> {
-        let since = self.since_ms.load(Ordering::Relaxed);
-        let failing = self.failing.load(Ordering::Relaxed);
-        failing.then(|| self.now_ms().saturating_sub(since))
-    }
-}
-
-impl StoreWatch for Health {
-    fn failed(&self, error: &StoreError) {
-        if !self.failing.swap(true, Ordering::Relaxed) {
-            self.since_ms.store(self.now_ms(), Ordering::Relaxed);
-            tracing::warn!(%error, "the owner's transaction has no result and is repeated");
-        }
-    }
-
-    fn succeeded(&self) {
-        if let Some(ms) = self.failing_ms() {
-            tracing::info!(after_ms = ms, "the store records again");
-            self.failing.store(false, Ordering::Relaxed);
-        }
-    }
-}
-
 /// The actor.
 #[derive(Actor)]
 pub(super) struct Owner {
     engine: Engine,
     /// `None` while a transaction is under way.
     ledger: Option<Ledger>,
-    ports: OwnerPorts,
-    desk: Desk,
+    pub(super) ports: OwnerPorts,
+    pub(super) desk: Desk,
     callers: Slab<oneshot::Sender<Told>>,
     health: Arc<Health>,
     last_commit: Time,
@@ -477,54 +425,6 @@
         }
     }
 
-    fn look(
-        &self,
-        me: &ActorRef<Self>,
-        worker: WorkerKey,
-        target: WorkerTarget,
-        order: LookOrder,
-        now: Time,
-    ) {
-        let (executors, me) = (self.ports.executors.clone(), me.clone());
-        self.ports.metrics.count(Counter::WorkerCalls, 1);
-        tokio::spawn(async move {
-            let answer = executors.look(&target, &order).await;
-            let _ = me.tell(Event::Looked(worker, now, answer)).await;
-        });
-    }
-
-    fn start(
-        &self,
-        me: &ActorRef<Self>,
-        worker: WorkerKey,
-        target: WorkerTarget,
-        order: StartOrder,
-    ) {
-        let (executors, me) = (self.ports.executors.clone(), me.clone());
-        self.ports.metrics.count(Counter::TasksPlaced, 1);
-        self.ports.metrics.count(Counter::WorkerCalls, 1);
-        tokio::spawn(async move {
-            let answer = executors.start(&target, &order).await;
-            let event = Event::Started(worker, order.task, order.run, answer);
-            let _ = me.tell(event).await;
-        });
-    }
-
-    fn stop(
-        &self,
-        me: &ActorRef<Self>,
-        worker: WorkerKey,
-        target: WorkerTarget,
-        task: TaskId,
-        run: u32,
-    ) {
-        let (executors, me) = (self.ports.executors.clone(), me.clone());
-        tokio::spawn(async move {
-            let answer = executors.stop(&target, task, run).await;
-            let _ = me.tell(Event::Stopped(worker, task, run, answer)).await;
-        });
-    }
-
     /// Begins the next transaction if there is something to record, or the heartbeat is due.
     fn commit(&mut self, me: &ActorRef<Self>, now: Time) {
         let waited = now.since(self.last_commit);
@@ -562,58 +462,6 @@
                 .await;
         });
     }
-
-    /// Hands questions about permits to VMs that are free.
-    fn ask_permits(&mut self, me: &ActorRef<Self>, now: Time) {
-        while let Some((vm, question)) = self.desk.next(now) {
-            tracing::debug!(request = %question.step.workflow, step = %question.step, %vm,
-                asked = question.workers.len(), takes_ms = question.takes_ms,
-                "permits are asked for");
-            let (ports, me) = (self.ports.clone(), me.clone());
-            tokio::spawn(async move {
-                let Question {
-                    step,
-                    workers,
-                    takes_ms,
-                    ..
-                } = question;
-                let timeout = Duration::from_millis(takes_ms + PERMIT_TIMEOUT_MS);
-                let answer = ports.ask_through(vm, step, &workers, timeout).await;
-                let event = Event::Permitted {
-                    vm,
-                    step,
-                    asked: workers,
-                    answer,
-                };
-                let _ = me.tell(event).await;
-            });
-        }
-    }
-}
-
-impl OwnerPorts {
-    /// Asks the service of permits, from the VM at `vm`.
-    async fn ask_through(
-        &self,
-        vm: SocketAddr,
-        step: StepId,
-        workers: &[WorkerName],
-        timeout: Duration,
-    ) -> Result<Permits, PermitError> {
-        if vm == self.directory.own() {
-            return self.permits.ask(step, workers, timeout).await;
-        }
-        let request = Request::Workflow(Ask::Permits {
-            step,
-            workers: workers.to_vec(),
-            timeout_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
-        });
-        match self.peers.call(vm, &request, timeout).await {
-            Ok(Reply::Workflow(Told::Permits(answer))) => answer,
-            Ok(other) => Err(PermitError(format!("an unexpected reply: {other:?}"))),
-            Err(error) => Err(PermitError(error.to_string())),
-        }
-    }
 }
 
 impl Message<Event> for Owner {
--- a/src/workflow/engine/asks.rs
+++ b/src/workflow/engine/asks.rs
@@ -121,9 +121,7 @@
     }
 
     pub(super) fn permits_mut(&mut self, step: StepId) -> Option<&mut StepPermits> {
-        let active = self.active.get_mut(&step.workflow)?;
-        let run = active.steps.get_mut(&(step.occurrence, step.step))?;
-        Some(&mut run.permits)
+        self.step_mut(step).map(|run| &mut run.permits)
     }
 
     /// Takes the answer to a question about the workers `asked`.
--- a/src/workflow/engine/ends.rs
+++ b/src/workflow/engine/ends.rs
@@ -161,12 +161,7 @@
     }
 
     pub(super) fn keep_checkpoint(&mut self, task: TaskId, checkpoint: Option<String>) {
-        let Some(active) = self.active.get_mut(&task.step.workflow) else {
-            return;
-        };
-        let run = active
-            .steps
-            .get_mut(&(task.step.occurrence, task.step.step));
+        let run = self.step_mut(task.step);
         if let Some(known) = run.and_then(|run| run.task_mut(task.index))
             && checkpoint.is_some()
         {
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use self::commit::Journal;
-use super::active::Active;
+use super::active::{Active, StepRun};
 use super::fleet::{Fleet, WorkerKey};
 use super::policy::{EngineConfig, QueuePolicy};
 use super::record::WorkflowState;
@@ -241,6 +241,11 @@
         u32::try_from(before + 1).unwrap_or(u32::MAX)
     }
 
+    fn step_mut(&mut self, step: StepId) -> Option<&mut StepRun> {
+        let active = self.active.get_mut(&step.workflow)?;
+        active.steps.get_mut(&(step.occurrence, step.step))
+    }
+
     fn ready_key(&self, step: StepId) -> Option<ReadyKey> {
         let active = self.active.get(&step.workflow)?;
         Some(ReadyKey {
--- a/src/workflow/engine/orders.rs
+++ b/src/workflow/engine/orders.rs
@@ -263,25 +263,14 @@
             }
             Rejection::Malformed => pause = MALFORMED_PAUSE,
         }
-        let step = self.active.get_mut(&task.step.workflow).and_then(|active| {
-            active
-                .steps
-                .get_mut(&(task.step.occurrence, task.step.step))
-        });
-        if let Some(step) = step {
+        if let Some(step) = self.step_mut(task.step) {
             step.last_run = step.last_run.max(run);
         }
         self.withdraw(key, task, now + pause);
     }
 
     fn drop_permit(&mut self, key: WorkerKey, task: TaskId) {
-        let active = self.active.get_mut(&task.step.workflow);
-        let step = active.and_then(|active| {
-            active
-                .steps
-                .get_mut(&(task.step.occurrence, task.step.step))
-        });
-        if let Some(step) = step {
+        if let Some(step) = self.step_mut(task.step) {
             step.permits.held.remove(&key);
         }
     }
