--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -194,7 +194,9 @@
 ) {
     let mut version = None;
     loop {
-        if seat.is_owner() || directory.owner().is_none() || directory.is_owner_silent() {
+        let learns_alone =
+            seat.is_owner() || directory.owner().is_none() || directory.is_owner_silent();
+        if version.is_some() && learns_alone {
             version = None;
             tokio::time::sleep(CONFIG_INTERVAL).await;
         }
