Let a larger VM own the workflows and place in rounds

Cause: on the grown deployments VMs have 0.09 to 0.5 cores, and whichever claimed first owned all workflows; each event placed up to 256 steps on 350 workers. Ruled out: calls to workers alone (0.2 of a core at most now). Change: VMs tell their processor in pings; smaller ones let larger ones claim first, and a smaller owner yields to a VM with 1.5 times its processor. Placement and the pass over all workers happen at most each 10 ms, and steps that fit on no worker are passed over in a round.

--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -19,6 +19,18 @@
     pub address: SocketAddr,
     /// When its process started, in milliseconds since 1970.
     pub started_unix_ms: u64,
+    /// What its processor does, in thousandths of a core.
+    pub cpu_milli: u32,
+}
+
+impl Member {
+    /// Whether this VM is enough larger than `other` to run the workflows in its place: a smaller
+    /// difference is not worth a change of owners.
+    pub fn is_larger_than(&self, other: &Self) -> bool {
+        /// How much larger, in percent.
+        const LARGER_PERCENT: u64 = 150;
+        u64::from(self.cpu_milli) * 100 >= u64::from(other.cpu_milli) * LARGER_PERCENT
+    }
 }
 
 /// The owner of all workflows, as far as a VM knows.
--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -78,6 +78,7 @@
             vm: settings.vm.clone(),
             address: settings.peers,
             started_unix_ms: unix_ms(),
+            cpu_milli: settings.cpu_milli(),
         };
         let directory = Arc::new(Directory::new(me.clone(), settings.seeds.clone()));
         let peers = Arc::new(NngPeers::new(NO_SECRET));
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -16,7 +16,7 @@
 use super::health::Health;
 use super::layout::{self, Handover};
 use super::ledger::{Ledger, MAX_ENTRIES, MAX_TAKEN, RecordError, Recording};
-use super::message::Told;
+use super::message::{Member, Told};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::model::{QueueName, Time, WorkerName};
 use crate::node::clock::Clock;
@@ -48,6 +48,10 @@
 /// shortest objective of a queue, beyond which a refusal counts as late.
 const REFUSE_AFTER_MS: u64 = 200;
 
+/// An owner gives up in favour of a larger VM no sooner than this after it began, so that a larger VM
+/// that does not follow costs little: workflows change owners in about a second.
+const YIELD_AFTER: Duration = Duration::from_secs(3);
+
 /// An owner that no other VM tells that it lives for so long gives up: several pings.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -60,6 +64,8 @@
     Released,
     /// It gave up, as it reaches no other VM.
     CutOff,
+    /// It gave up, as a larger VM is there.
+    Yielded,
 }
 
 /// What an owner needs from its VM.
@@ -132,6 +138,7 @@
     /// `None` while a transaction is under way.
     ledger: Option<Ledger>,
     pub(super) ports: OwnerPorts,
+    me: Member,
     pub(super) desk: Desk,
     callers: Slab<oneshot::Sender<Told>>,
     health: Arc<Health>,
@@ -153,6 +160,7 @@
         engine: Engine,
         ledger: Ledger,
         ports: OwnerPorts,
+        me: Member,
         ended: watch::Sender<Option<Ending>>,
     ) -> Self {
         Self {
@@ -162,6 +170,7 @@
             last_commit: ports.clock.now(),
             began: ports.clock.now(),
             ports,
+            me,
             desk: Desk::default(),
             callers: Slab::new(),
             releasing: None,
@@ -265,8 +274,19 @@
     }
 
     fn tick(&mut self, now: Time) {
-        let vms = self.ports.directory.members(now);
-        let vms: Vec<SocketAddr> = vms.into_iter().map(|member| member.address).collect();
+        let members = self.ports.directory.members(now);
+        let larger = members
+            .iter()
+            .find(|member| member.is_larger_than(&self.me));
+        if let Some(larger) = larger
+            && self.releasing.is_none()
+            && now.since(self.began) >= YIELD_AFTER
+        {
+            tracing::info!(vm = %larger.vm, cpu_milli = larger.cpu_milli, own_cpu_milli = self.me.cpu_milli,
+                "a larger VM is to follow");
+            self.releasing = Some(Ending::Yielded);
+        }
+        let vms: Vec<SocketAddr> = members.into_iter().map(|member| member.address).collect();
         self.ports.metrics.gauge(Gauge::VmsLive, vms.len() as u64);
         self.desk.set_vms(&vms);
         self.engine.set_askers(vms.len());
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -14,7 +14,7 @@
 use super::reader::{self, Recorded};
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
-use crate::model::Time;
+use crate::model::{Time, VmName};
 use crate::port::feeds::{News, WorkerChange};
 use crate::port::records::StoreError;
 use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy, WorkflowId};
@@ -35,7 +35,11 @@
 /// Between two looks at the record of an owner that does not answer.
 const WATCH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// An owner that gave up as it reached no other VM leaves its place to others for so long: they see
+/// A VM leaves the place of a lost owner to larger VMs for so long: they look at the owner's record
+/// within two intervals.
+const LET_LARGER_FOLLOW: Duration = Duration::from_millis(700);
+
+/// An owner that gave up as it reached no other VM, or as a larger one is there, leaves its place to others for so long: they see
 /// its record within two looks.
 const LET_OTHERS_FOLLOW: Duration = Duration::from_secs(2);
 
@@ -139,7 +143,7 @@
             }
             missed += 1;
             if missed >= PINGS_MISSED || self.ports.directory.owner().is_none() {
-                self.watch_record(&mut silent).await;
+                self.watch_record(&mut silent, false).await;
                 self.pause(WATCH_INTERVAL).await;
             }
         }
@@ -150,7 +154,7 @@
             () = tokio::time::sleep(pause) => {}
             () = self.asked_to_follow.notified() => {
                 let mut silent = None;
-                self.watch_record(&mut silent).await;
+                self.watch_record(&mut silent, true).await;
             }
         }
     }
@@ -192,8 +196,9 @@
         }
     }
 
-    /// Looks at the owner's record; takes the owner's place where it has given up or stood still.
-    async fn watch_record(&self, silent: &mut Option<Silent>) {
+    /// Looks at the owner's record; takes the owner's place where it has given up or stood still. A
+    /// VM that is not `asked` to follow lets larger ones go first.
+    async fn watch_record(&self, silent: &mut Option<Silent>, asked: bool) {
         let found = match reader::read_owner(&self.ports.records).await {
             Ok(found) => found,
             Err(error) => {
@@ -211,21 +216,38 @@
             address: record.address,
         });
         let own_earlier = record.vm == self.me.vm;
-        let stood_still = match silent {
-            Some(known) if known.version == version => now.since(known.since) >= OWNER_SILENCE,
+        let since = match silent {
+            Some(known) if known.version == version => known.since,
             _ => {
                 *silent = Some(Silent {
                     version,
                     since: now,
                 });
-                false
+                now
             }
         };
-        if record.released || own_earlier || stood_still {
+        let lost = if record.released || own_earlier {
+            Duration::ZERO
+        } else {
+            OWNER_SILENCE
+        };
+        let polite = if !asked && self.knows_larger(&record.vm, now) {
+            LET_LARGER_FOLLOW
+        } else {
+            Duration::ZERO
+        };
+        if now.since(since) >= lost + polite {
             self.claim(record.epoch, version).await;
         }
     }
 
+    /// Whether a VM other than the `lost` one was heard of that is larger than this one.
+    fn knows_larger(&self, lost: &VmName, now: Time) -> bool {
+        let members = self.ports.directory.members(now);
+        let mut others = members.iter().filter(|member| member.vm != *lost);
+        others.any(|member| member.is_larger_than(&self.me))
+    }
+
     /// Tries to become the owner after the one of `epoch`.
     async fn claim(&self, epoch: u64, version: u64) {
         // Without a configuration no workflow can be served.
@@ -277,7 +299,7 @@
         tracing::info!(epoch, workflows, "the recorded workflows are taken up");
         self.ports.metrics.count(Counter::ShardsTaken, 1);
         let (ended, mut has_ended) = watch::channel(None);
-        let owner = Owner::new(engine, ledger, self.ports.clone(), ended);
+        let owner = Owner::new(engine, ledger, self.ports.clone(), self.me.clone(), ended);
         let owner = Owner::spawn(owner);
         let mut tasks = JoinSet::new();
         tasks.spawn(Owner::run_ticks(owner.clone()));
@@ -299,10 +321,13 @@
         });
         // The sender lives as long as the actor.
         let ending = has_ended.wait_for(Option::is_some).await;
-        let cut_off = ending.is_ok_and(|ending| *ending == Some(Ending::CutOff));
+        let ending = ending.ok().and_then(|ending| *ending);
         tasks.shutdown().await;
         *self.lock() = None;
-        if cut_off {
+        if ending == Some(Ending::Yielded) {
+            self.ask_to_follow(self.ports.clock.now()).await;
+        }
+        if matches!(ending, Some(Ending::CutOff | Ending::Yielded)) {
             tokio::time::sleep(LET_OTHERS_FOLLOW).await;
         }
     }
@@ -351,12 +376,13 @@
         self.ask_to_follow(now).await;
     }
 
-    /// Asks the VM that started last to follow, since planned restarts come to it last.
+    /// Asks the largest VM to follow; among those alike the one that started last, since planned
+    /// restarts come to it last.
     async fn ask_to_follow(&self, now: Time) {
         let epoch = self.ports.directory.owner().map_or(0, |owner| owner.epoch);
         let mut members = self.ports.directory.members(now);
         members.retain(|member| member.vm != self.me.vm);
-        members.sort_by_key(|member| std::cmp::Reverse(member.started_unix_ms));
+        members.sort_by_key(|member| std::cmp::Reverse((member.cpu_milli, member.started_unix_ms)));
         for member in members {
             let request = Request::Workflow(Ask::TakeOver { epoch });
             let reply = self
--- a/src/coordinator/settings.rs
+++ b/src/coordinator/settings.rs
@@ -34,6 +34,12 @@
     pub permits: Option<SocketAddr>,
     /// The longest lease that workers grant, in milliseconds.
     pub lease_max_ms: u64,
+    /// How much of a processor core this VM has; the owner of the workflows belongs on a larger VM.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
+    /// How fast these cores are beside others.
+    #[serde(default = "default_cores")]
+    pub core_speed: f64,
     /// How long a planned stop may take before the process is killed, in seconds.
     pub grace_s: f64,
     /// The level of logs, in the syntax of `RUST_LOG`.
@@ -41,6 +47,10 @@
     pub log: String,
 }
 
+fn default_cores() -> f64 {
+    1.0
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
@@ -91,6 +101,14 @@
         if settings.grace_s.is_nan() || settings.grace_s <= 0.0 {
             findings.push("`grace_s` must be above 0".to_owned());
         }
+        for (name, value) in [
+            ("cores", settings.cores),
+            ("core_speed", settings.core_speed),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                findings.push(format!("`{name}` must be above 0"));
+            }
+        }
         if let Err(error) = check_filter(&settings.log) {
             findings.push(format!("`log`: {error}"));
         }
@@ -100,4 +118,10 @@
             Err(findings)
         }
     }
+
+    /// What the VM's processor does, in thousandths of a core of usual speed.
+    pub fn cpu_milli(&self) -> u32 {
+        // Both factors are checked to be above 0; a cast beyond the range saturates.
+        (self.cores * self.core_speed * 1_000.0) as u32
+    }
 }
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -1,10 +1,9 @@
 //! Decides what of the workflows of one service runs on which worker.
 //!
 //! The engine is told what happens and answers with effects. It does no input or output and reads no
-//! clock. What it knows of running tasks comes from the workers' own lists, so a start needs no
-//! record in the store: a new owner raises the fence at each worker, learns from its lists what runs,
-//! and starts nothing that an earlier owner may have started before each worker has answered or its
-//! lease is over.
+//! clock. A placement is recorded before its start is sent, so a new owner knows from the store which
+//! tasks may run and where. It raises the fence at each worker, learns from the worker's list what
+//! runs there, and starts a task again once its worker has answered or the lease is over.
 
 mod asks;
 mod commit;
@@ -36,6 +35,10 @@
 /// Steps that wait are tried at least so often, since pauses of tasks and workers end by themselves.
 const ROUND: Duration = Duration::from_millis(50);
 
+/// Between two rounds that place steps or go through all workers: a round costs time for each step
+/// that waits and each worker, and no start gains by less than this.
+const ROUND_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Names who waits for an answer of the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Token(pub u64);
@@ -130,6 +133,10 @@
     place_due: bool,
     /// When steps are placed at the latest, for pauses that end.
     next_round: Time,
+    /// When steps were last placed.
+    placed_at: Option<Time>,
+    /// When all workers were last gone through.
+    swept_at: Option<Time>,
     overtaken: bool,
     effects: Vec<Effect>,
 }
@@ -153,6 +160,8 @@
             granted_share: HashMap::new(),
             place_due: false,
             next_round: Time::default(),
+            placed_at: None,
+            swept_at: None,
             overtaken: false,
             effects: Vec::new(),
         }
@@ -224,13 +233,18 @@
     ///
     /// `unix_ms` is the time of day, which only recurring workflows go by.
     pub fn poll(&mut self, now: Time, unix_ms: u64) {
-        self.begin_occurrences(now, unix_ms);
-        self.end_recovery(now);
-        self.drop_lapsed(now);
-        self.look_at_workers(now);
-        let due = std::mem::take(&mut self.place_due) || now >= self.next_round;
-        if due && !self.ready.is_empty() {
+        let rested = |last: Option<Time>| last.is_none_or(|at| now.since(at) >= ROUND_INTERVAL);
+        if rested(self.swept_at) {
+            self.swept_at = Some(now);
+            self.begin_occurrences(now, unix_ms);
+            self.end_recovery(now);
+            self.drop_lapsed(now);
+            self.look_at_workers(now);
+        }
+        if (self.place_due || now >= self.next_round) && rested(self.placed_at) {
+            self.place_due = false;
             self.next_round = now + ROUND;
+            self.placed_at = Some(now);
             self.place_ready(now);
         }
     }
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -1,7 +1,7 @@
 //! Places the tasks that wait, the most urgent first.
 
 use super::{Engine, ReadyKey};
-use crate::model::Time;
+use crate::model::{Resources, Time};
 use crate::workflow::fleet::{Worker, WorkerKey};
 use crate::workflow::spec::{StepId, StepSpec};
 
@@ -27,14 +27,27 @@
 impl Engine {
     /// Tries to place each step that may start.
     pub(super) fn place_ready(&mut self, now: Time) {
+        if self.ready.is_empty() {
+            return;
+        }
+        let most = self.most_room(now);
         let first = self.ready.iter().take(STEPS_PER_ROUND);
         let keys: Vec<ReadyKey> = first.copied().collect();
         for key in keys {
-            self.place_step(key, now);
+            self.place_step(key, &most, now);
         }
     }
 
-    fn place_step(&mut self, key: ReadyKey, now: Time) {
+    /// At least the room of the emptiest worker, in each resource; it only shrinks within a round.
+    fn most_room(&self, now: Time) -> Resources {
+        let workers = self.fleet.iter().map(|(_, worker)| worker);
+        let usable = workers.filter(|worker| worker.is_usable(now));
+        usable.fold(Resources::default(), |most, worker| {
+            Resources::max(&most, &worker.room())
+        })
+    }
+
+    fn place_step(&mut self, key: ReadyKey, most: &Resources, now: Time) {
         let id = key.step;
         let Some(active) = self.active.get(&id.workflow) else {
             self.ready.remove(&key);
@@ -52,6 +65,9 @@
             return;
         };
         let recorded = active.recorded;
+        if !spec.reserved().fits_in(most) {
+            return;
+        }
         let placed = recorded && self.place_tasks(id, &spec, now);
         if !placed && self.needs_permit(id) {
             self.ask_permits(id, &spec, now);
