--- a/src/coordinator/directory.rs
+++ b/src/coordinator/directory.rs
@@ -1,21 +1,42 @@
-//! The VMs that take part, and which of them owns the workflows.
+//! The VMs that take part, and which of them own the workflows.
 
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::message::{Member, OwnerHint};
+use super::shards::Shard;
 use crate::model::Time;
 
 /// A member that was not heard of for so long is dropped: several pings.
 const MEMBER_SILENCE: Duration = Duration::from_secs(3);
 
+/// The least time between two shards that this VM gives up for a larger one: others learn within
+/// several pings how many shards each VM owns.
+const YIELD_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The owner of one shard.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownOwner {
+    hint: Option<OwnerHint>,
+    /// Whether it left the last question without an answer.
+    silent: bool,
+}
+
 #[derive(Debug, Default)]
 struct Known {
-    members: Vec<(Member, Time)>,
-    owner: Option<OwnerHint>,
-    /// Whether the owner left the last question without an answer.
-    owner_silent: bool,
+    /// Members that told this VM themselves that they live.
+    heard: Vec<(Member, Time)>,
+    /// Members that an owner has told of.
+    told: Vec<(Member, Time)>,
+    owners: HashMap<Shard, KnownOwner>,
+    /// How many shards this VM owns.
+    owned: u16,
+    /// When this VM last gave up a shard for a larger one.
+    yielded_at: Option<Time>,
     /// When another VM was last heard of.
     heard_at: Option<Time>,
     /// Turns with each failed relay, so that another VM is asked first.
@@ -47,40 +68,77 @@
         self.me.address
     }
 
-    /// The owner, as far as known.
-    pub fn owner(&self) -> Option<OwnerHint> {
-        self.lock().owner
+    /// This VM, with how many shards it owns now.
+    pub fn me(&self) -> Member {
+        Member {
+            owned: self.lock().owned,
+            ..self.me.clone()
+        }
+    }
+
+    /// Notes that this VM owns one more shard.
+    pub fn shard_taken(&self) {
+        self.lock().owned += 1;
     }
 
-    /// Notes who owns the workflows; an earlier owner than the known one is passed over.
-    pub fn set_owner(&self, hint: OwnerHint) {
+    /// Notes that this VM owns one shard less.
+    pub fn shard_left(&self) {
         let mut known = self.lock();
-        if known.owner.is_none_or(|owner| owner.epoch <= hint.epoch) {
-            if known.owner != Some(hint) {
-                known.owner_silent = false;
+        known.owned = known.owned.saturating_sub(1);
+    }
+
+    /// Whether this VM may give up a shard for a larger VM now; notes that it does.
+    pub fn may_yield(&self, now: Time) -> bool {
+        let mut known = self.lock();
+        let rested = known
+            .yielded_at
+            .is_none_or(|at| now.since(at) >= YIELD_INTERVAL);
+        if rested {
+            known.yielded_at = Some(now);
+        }
+        rested
+    }
+
+    /// The owner of a shard, as far as known.
+    pub fn owner(&self, shard: Shard) -> Option<OwnerHint> {
+        self.lock().owners.get(&shard)?.hint
+    }
+
+    /// Notes who owns a shard; an earlier owner than the known one is passed over.
+    pub fn set_owner(&self, shard: Shard, hint: OwnerHint) {
+        let mut known = self.lock();
+        let owner = known.owners.entry(shard).or_default();
+        if owner.hint.is_none_or(|owner| owner.epoch <= hint.epoch) {
+            if owner.hint != Some(hint) {
+                owner.silent = false;
             }
-            known.owner = Some(hint);
+            owner.hint = Some(hint);
         }
     }
 
     /// Whether the owner left the last question without an answer.
-    pub fn is_owner_silent(&self) -> bool {
-        self.lock().owner_silent
+    pub fn is_owner_silent(&self, shard: Shard) -> bool {
+        let known = self.lock();
+        known.owners.get(&shard).is_some_and(|owner| owner.silent)
     }
 
     /// Notes whether the owner answered.
-    pub fn owner_answered(&self, answered: bool) {
-        self.lock().owner_silent = !answered;
+    pub fn owner_answered(&self, shard: Shard, answered: bool) {
+        self.lock().owners.entry(shard).or_default().silent = !answered;
+    }
+
+    /// Whether an owner that answers is known, from which this VM learns what other VMs know.
+    pub fn hears_an_owner(&self) -> bool {
+        let known = self.lock();
+        let mut owners = known.owners.values();
+        owners.any(|owner| !owner.silent && owner.hint.is_some())
     }
 
     /// Notes that a member lives.
     pub fn heard(&self, member: Member, now: Time) {
         let mut known = self.lock();
-        known.members.retain(|(other, at)| {
-            other.address != member.address && now.since(*at) < MEMBER_SILENCE
-        });
         known.heard_at = Some(now);
-        known.members.push((member, now));
+        refresh(&mut known.heard, member, now);
     }
 
     /// When another VM last told that it lives.
@@ -88,37 +146,59 @@
         self.lock().heard_at
     }
 
-    /// Takes up the members that the owner knows.
-    pub fn set_members(&self, members: Vec<Member>, now: Time) {
+    /// Takes up the members that an owner has heard of.
+    pub fn told_of(&self, members: Vec<Member>, now: Time) {
         let mut known = self.lock();
-        known.members = members.into_iter().map(|member| (member, now)).collect();
+        for member in members {
+            refresh(&mut known.told, member, now);
+        }
     }
 
-    /// This VM and the members that were heard of lately.
+    /// This VM and the members that told it lately that they live. Members that others told of are
+    /// left out, so that VMs do not keep a lost one known among each other.
+    pub fn heard_members(&self, now: Time) -> Vec<Member> {
+        let me = self.me();
+        let known = self.lock();
+        let lately = |(member, at): &(Member, Time)| {
+            (now.since(*at) < MEMBER_SILENCE).then(|| member.clone())
+        };
+        let others = known.heard.iter().filter_map(lately);
+        std::iter::once(me).chain(others).collect()
+    }
+
+    /// This VM and the members that were heard or told of lately.
     pub fn members(&self, now: Time) -> Vec<Member> {
+        let mut members = self.heard_members(now);
         let known = self.lock();
-        let others = known.members.iter();
-        let others = others.filter(|(member, at)| {
-            member.address != self.me.address && now.since(*at) < MEMBER_SILENCE
-        });
-        let others = others.map(|(member, _)| member.clone());
-        std::iter::once(self.me.clone()).chain(others).collect()
+        for (member, at) in &known.told {
+            let listed = members.iter().any(|other| other.address == member.address);
+            if !listed && now.since(*at) < MEMBER_SILENCE {
+                members.push(member.clone());
+            }
+        }
+        members
     }
 
-    /// Up to `most` other VMs to ask for calls of the store.
+    /// Up to `most` other VMs to ask for calls of the store; each VM begins with another one, and
+    /// owners of shards come last, as they have the most to do.
     pub fn relays(&self, most: usize) -> Vec<SocketAddr> {
         let known = self.lock();
-        let members = known.members.iter().map(|(member, _)| member.address);
-        let mut others: Vec<SocketAddr> =
-            members.filter(|other| *other != self.me.address).collect();
-        if others.is_empty() {
-            others.clone_from(&self.seeds);
+        let members = known.told.iter().chain(&known.heard);
+        let members = members.map(|(member, _)| (member.address, member.owned > 0));
+        let mut owns: BTreeMap<SocketAddr, bool> = members.collect();
+        if owns.is_empty() {
+            owns = self.seeds.iter().map(|seed| (*seed, false)).collect();
         }
-        others.sort_unstable();
+        owns.remove(&self.me.address);
+        let (owners, mut others): (Vec<_>, Vec<_>) = owns.into_iter().partition(|(_, owns)| *owns);
+        // The truncated hash serves as well as the whole one.
+        let first = known
+            .turn
+            .wrapping_add(xxh3_64(self.me.vm.as_str().as_bytes()) as usize);
         let count = others.len().max(1);
-        others.rotate_left(known.turn % count);
-        others.truncate(most);
-        others
+        others.rotate_left(first % count);
+        let in_order = others.into_iter().chain(owners);
+        in_order.take(most).map(|(address, _)| address).collect()
     }
 
     /// Notes that a relay did not help, so that another is asked first.
@@ -131,3 +211,9 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Notes that `member` lived at `now`, and forgets those that were silent for long.
+fn refresh(known: &mut Vec<(Member, Time)>, member: Member, now: Time) {
+    known.retain(|(other, at)| other.address != member.address && now.since(*at) < MEMBER_SILENCE);
+    known.push((member, now));
+}
--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -4,22 +4,25 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use futures_util::future::join_all;
 use tokio::sync::oneshot;
 
 use super::directory::Directory;
 use super::layout::{self, Handover};
 use super::ledger::encode;
 use super::message::{Ask, Told};
+use super::outbox::Outbox;
 use super::owner::{Event, OwnerAsk};
 use super::reader::{self, CALL_TIMEOUT};
 use super::seat::Seat;
+use super::shards::{Seats, Shard, ShardMap};
 use crate::message::{Reply, Request};
 use crate::metrics::{Counter, Metrics, Timer};
 use crate::model::{QueueName, Time};
 use crate::node::clock::Clock;
 use crate::port::peer::{PeerError, SharedPeers};
-use crate::port::records::{SharedRecords, StoreCall, StoreError, StoreReply, Transaction};
-use crate::workflow::record::{WorkflowRecord, WorkflowState};
+use crate::port::records::{RecordKey, SharedRecords, StoreError};
+use crate::workflow::record::WorkflowState;
 use crate::workflow::{QueueConfig, WorkflowId, WorkflowSpec};
 
 /// How long the owner is waited for before the store is tried: an owner on a slowed VM answers within
@@ -69,7 +72,8 @@
     records: SharedRecords,
     peers: SharedPeers,
     directory: Arc<Directory>,
-    seat: Arc<Seat>,
+    seats: Arc<Seats>,
+    outbox: Outbox,
     config: ArcSwap<Option<QueueConfig>>,
     clock: Clock,
     metrics: Metrics,
@@ -80,15 +84,16 @@
         records: SharedRecords,
         peers: SharedPeers,
         directory: Arc<Directory>,
-        seat: Arc<Seat>,
+        seats: Arc<Seats>,
         clock: Clock,
         metrics: Metrics,
     ) -> Self {
         Self {
+            outbox: Outbox::new(records.clone()),
             records,
             peers,
             directory,
-            seat,
+            seats,
             config: ArcSwap::from_pointee(None),
             clock,
             metrics,
@@ -117,9 +122,17 @@
         true
     }
 
-    /// Whether callers are served: the configuration is known, and the owner or a way to the store.
+    /// Whether callers are served: the configuration and the owner of each shard are known.
     pub fn is_ready(&self) -> bool {
-        self.config().is_some() && (self.directory.owner().is_some() || self.seat.is_owner())
+        let shards = self.seats.map();
+        let mut shards = shards.iter().flat_map(ShardMap::all);
+        let known = shards.all(|shard| self.directory.owner(shard).is_some());
+        known && self.seats.map().is_some() && self.config().is_some()
+    }
+
+    /// The shard of a workflow; `None` while it is not known how many there are.
+    fn shard_of(&self, id: WorkflowId) -> Option<Shard> {
+        Some(self.seats.map()?.of_workflow(id))
     }
 
     /// The present time.
@@ -144,25 +157,30 @@
     pub async fn submit(&self, id: WorkflowId, spec: WorkflowSpec, limit: Duration) -> Answer {
         let began = self.now();
         let deadline = began + limit.saturating_sub(ANSWER_MARGIN);
+        let Some(shard) = self.shard_of(id) else {
+            self.count(began, Answer::NotRun);
+            return Answer::NotRun;
+        };
         let ask = Ask::Submit {
             id,
             spec: spec.clone(),
         };
-        let answer = match self.ask_owner(ask, deadline).await {
+        let answer = match self.ask_owner(shard, ask, deadline).await {
             Ok(Told::Accepted) => Answer::Accepted,
             Ok(Told::Refused) => Answer::NotRun,
             Ok(Told::NotOwner(_)) | Err(Unreached::NotSent) => {
-                self.hand_over(id, spec, false, deadline).await
+                self.hand_over(shard, id, spec, false, deadline).await
             }
             // The owner may have it, so a failure to hand it over does not mean that it never runs.
-            Ok(_) | Err(Unreached::NoReply) => match self.hand_over(id, spec, true, deadline).await
-            {
-                Answer::NotRun => Answer::Unknown,
-                answer => answer,
-            },
+            Ok(_) | Err(Unreached::NoReply) => {
+                match self.hand_over(shard, id, spec, true, deadline).await {
+                    Answer::NotRun => Answer::Unknown,
+                    answer => answer,
+                }
+            }
         };
-        tracing::info!(request = %id, ?answer, owner = self.owner_epoch(),
-            time_left_ms = left(deadline, self.now()).as_millis(), "a submission is answered");
+        tracing::info!(request = %id, ?answer, shard = shard.0,
+            owner = self.owner_epoch(shard), time_left_ms = left(deadline, self.now()).as_millis(), "a submission is answered");
         self.count(began, answer);
         answer
     }
@@ -171,29 +189,25 @@
     /// workflow will run, that is tried for all the time that the caller waits.
     async fn hand_over(
         &self,
+        shard: Shard,
         id: WorkflowId,
         spec: WorkflowSpec,
         open: bool,
         deadline: Time,
     ) -> Answer {
-        let record = WorkflowRecord::Active(spec);
-        let encoded = encode(&record);
-        let handover = encode(&Handover::Submitted(record));
-        let (Ok(encoded), Ok(handover)) = (encoded, handover) else {
-            tracing::error!(request = %id, "a workflow cannot be encoded");
-            return Answer::NotRun;
-        };
-        let transaction = Transaction {
-            expected: vec![(layout::workflow_key(id), 0)],
-            puts: vec![
-                (layout::workflow_key(id), encoded),
-                (layout::submitted_key(id), handover),
-            ],
-            removals: Vec::new(),
+        let handover = match encode(&Handover::Submitted(spec)) {
+            Ok(handover) => handover,
+            Err(error) => {
+                tracing::error!(request = %id, %error, "a workflow cannot be encoded");
+                return Answer::NotRun;
+            }
         };
-        match self.commit_within(transaction, open, deadline).await {
-            // A workflow that has a record was accepted before.
-            Ok(_) => Answer::Accepted,
+        let key = layout::submitted_key(shard, id);
+        match self
+            .write_within(shard, key, handover, open, deadline)
+            .await
+        {
+            Ok(()) => Answer::Accepted,
             Err(StoreError::NotDone(reason) | StoreError::Rejected(reason)) => {
                 tracing::warn!(request = %id, reason, "a workflow is refused, as the store does not take it");
                 Answer::NotRun
@@ -205,23 +219,24 @@
         }
     }
 
-    /// Repeats a transaction until it has a result. Where the store does nothing this ends soon,
-    /// unless the effect of an earlier try is `open`; a later failure does not close that.
-    async fn commit_within(
+    /// Repeats a write until it has a result. Where the store does nothing this ends soon, unless the
+    /// effect of an earlier try is `open`; a later failure does not close that.
+    async fn write_within(
         &self,
-        transaction: Transaction,
+        shard: Shard,
+        key: RecordKey,
+        value: Vec<u8>,
         mut open: bool,
         deadline: Time,
-    ) -> Result<StoreReply, StoreError> {
-        /// Before a call without a result is sent again.
+    ) -> Result<(), StoreError> {
+        /// Before a write without a result is sent again.
         const RETRY_PAUSE: Duration = Duration::from_millis(50);
-        let call = StoreCall::Commit(transaction);
         let give_up = self.now() + STORE_REFUSES;
         loop {
             let limit = left(deadline, self.now()).min(CALL_TIMEOUT);
-            let error = match self.records.call(&call, limit).await {
-                Ok(reply) => return Ok(reply),
-                Err(error) => error,
+            let written = self.outbox.write(shard, key.clone(), value.clone(), limit);
+            let Err(error) = written.await else {
+                return Ok(());
             };
             open |= matches!(error, StoreError::Unknown(_));
             let now = self.now();
@@ -248,10 +263,14 @@
 
     async fn find_state(&self, id: WorkflowId, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
-        if let Ok(Told::State(Some(state))) = self.ask_owner(Ask::State(id), deadline).await {
+        let Some(shard) = self.shard_of(id) else {
+            return Answer::Unknown;
+        };
+        let told = self.ask_owner(shard, Ask::State(id), deadline).await;
+        if let Ok(Told::State(Some(state))) = told {
             return Answer::State(state);
         }
-        match reader::read_state(&self.records, id).await {
+        match reader::read_state(&self.records, shard, id).await {
             Ok(Some(state)) => Answer::State(state),
             Ok(None) => {
                 tracing::info!(request = %id, "a caller asks for a workflow that is not recorded");
@@ -267,31 +286,39 @@
     /// Cancels a workflow.
     pub async fn cancel(&self, id: WorkflowId, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
-        let answer = match self.ask_owner(Ask::Cancel(id), deadline).await {
+        let Some(shard) = self.shard_of(id) else {
+            return Answer::Unknown;
+        };
+        let answer = match self.ask_owner(shard, Ask::Cancel(id), deadline).await {
             Ok(Told::Cancelled) => Answer::Cancelled,
-            _ => self.cancel_in_store(id, deadline).await,
+            _ => self.cancel_in_store(shard, id, deadline).await,
         };
-        tracing::info!(request = %id, ?answer, owner = self.owner_epoch(), "a cancellation is answered");
+        tracing::info!(request = %id, ?answer, shard = shard.0, owner = self.owner_epoch(shard),
+            "a cancellation is answered");
         answer
     }
 
     /// Writes a cancellation to the store, for the owner to find.
-    async fn cancel_in_store(&self, id: WorkflowId, deadline: Time) -> Answer {
-        match reader::read_state(&self.records, id).await {
+    async fn cancel_in_store(&self, shard: Shard, id: WorkflowId, deadline: Time) -> Answer {
+        match reader::read_state(&self.records, shard, id).await {
             Ok(Some(state)) if state.is_final() => return Answer::Cancelled,
             Ok(Some(_)) => {}
             Ok(None) => return Answer::NoSuchWorkflow,
-            Err(_) => return Answer::Unknown,
+            Err(error) => {
+                tracing::warn!(request = %id, %error, "a workflow to cancel cannot be read");
+                return Answer::Unknown;
+            }
         }
-        let Ok(value) = encode(&Handover::Cancelled) else {
-            return Answer::Unknown;
-        };
-        let transaction = Transaction {
-            puts: vec![(layout::cancelled_key(id), value)],
-            ..Transaction::default()
+        let value = match encode(&Handover::Cancelled) {
+            Ok(value) => value,
+            Err(error) => {
+                tracing::error!(request = %id, %error, "a cancellation cannot be encoded");
+                return Answer::Unknown;
+            }
         };
-        match self.commit_within(transaction, true, deadline).await {
-            Ok(_) => Answer::Cancelled,
+        let key = layout::cancelled_key(shard, id);
+        match self.write_within(shard, key, value, true, deadline).await {
+            Ok(()) => Answer::Cancelled,
             Err(error) => {
                 tracing::warn!(request = %id, %error, "a cancellation is not recorded");
                 Answer::Unknown
@@ -302,34 +329,50 @@
     /// How many workflows of a queue have started nothing.
     pub async fn pending(&self, queue: &QueueName, limit: Duration) -> Answer {
         let deadline = self.now() + limit.saturating_sub(ANSWER_MARGIN);
-        match self.ask_owner(Ask::Pending(queue.clone()), deadline).await {
-            Ok(Told::Pending(count)) => Answer::Pending(count),
-            other => {
-                tracing::warn!(%queue, owner_said = ?other, "a queue cannot be counted now");
-                Answer::Unknown
+        let Some(map) = self.seats.map() else {
+            return Answer::Unknown;
+        };
+        let asked = map.all().map(|shard| {
+            let ask = Ask::Pending {
+                shard,
+                queue: queue.clone(),
+            };
+            self.ask_owner(shard, ask, deadline)
+        });
+        let mut total = 0;
+        for told in join_all(asked).await {
+            match told {
+                Ok(Told::Pending(count)) => total += count,
+                other => {
+                    tracing::warn!(%queue, owner_said = ?other, "a queue cannot be counted now");
+                    return Answer::Unknown;
+                }
             }
         }
+        Answer::Pending(total)
     }
 
-    /// Asks the owner, unless it left the last question without an answer.
-    async fn ask_owner(&self, ask: Ask, deadline: Time) -> Result<Told, Unreached> {
+    /// Asks the owner of the shard, unless it left the last question without an answer.
+    async fn ask_owner(&self, shard: Shard, ask: Ask, deadline: Time) -> Result<Told, Unreached> {
         /// A second owner is asked where the first has given up.
         const TRIES: usize = 2;
         for _ in 0..TRIES {
             let limit = left(deadline, self.now()).min(OWNER_TIMEOUT);
-            if self.seat.is_owner() {
-                return self.seat.ask(&ask, limit).await.ok_or(Unreached::NoReply);
+            let seat = self.seats.get(shard).filter(|seat| seat.is_owner());
+            if let Some(seat) = seat {
+                return seat.ask(&ask, limit).await.ok_or(Unreached::NoReply);
             }
-            let owner = self.directory.owner().ok_or(Unreached::NotSent)?;
+            let owner = self.directory.owner(shard).ok_or(Unreached::NotSent)?;
             let address = owner.address;
-            if address == self.directory.own() || self.directory.is_owner_silent() {
+            if address == self.directory.own() || self.directory.is_owner_silent(shard) {
                 return Err(Unreached::NotSent);
             }
             let request = Request::Workflow(ask.clone());
             match self.peers.call(address, &request, limit).await {
                 Ok(Reply::Workflow(Told::NotOwner(hint))) => {
                     let hint = hint.filter(|hint| hint.epoch > owner.epoch);
-                    self.directory.set_owner(hint.ok_or(Unreached::NotSent)?);
+                    let hint = hint.ok_or(Unreached::NotSent)?;
+                    self.directory.set_owner(shard, hint);
                 }
                 Ok(Reply::Workflow(told)) => return Ok(told),
                 Ok(other) => {
@@ -338,12 +381,12 @@
                 }
                 Err(PeerError::NoReply(reason)) => {
                     tracing::debug!(reason, %address, "the owner did not answer");
-                    self.directory.owner_answered(false);
+                    self.directory.owner_answered(shard, false);
                     return Err(Unreached::NoReply);
                 }
                 Err(error) => {
                     tracing::debug!(%error, %address, "the owner was not reached");
-                    self.directory.owner_answered(false);
+                    self.directory.owner_answered(shard, false);
                     return Err(Unreached::NotSent);
                 }
             }
@@ -351,8 +394,8 @@
         Err(Unreached::NotSent)
     }
 
-    fn owner_epoch(&self) -> u64 {
-        self.directory.owner().map_or(0, |owner| owner.epoch)
+    fn owner_epoch(&self, shard: Shard) -> u64 {
+        self.directory.owner(shard).map_or(0, |owner| owner.epoch)
     }
 }
 
@@ -368,7 +411,7 @@
             Ask::Submit { id, spec } => OwnerAsk::Submit(*id, spec.clone()),
             Ask::State(id) => OwnerAsk::State(*id),
             Ask::Cancel(id) => OwnerAsk::Cancel(*id),
-            Ask::Pending(queue) => OwnerAsk::Pending(queue.clone()),
+            Ask::Pending { queue, .. } => OwnerAsk::Pending(queue.clone()),
             Ask::Ping { .. } | Ask::Store { .. } | Ask::Permits { .. } | Ask::TakeOver { .. } => {
                 return None;
             }
--- a/src/coordinator/handler.rs
+++ b/src/coordinator/handler.rs
@@ -6,7 +6,7 @@
 use super::directory::Directory;
 use super::gateway::Gateway;
 use super::message::{Ask, Told};
-use super::seat::Seat;
+use super::shards::{Seats, Shard};
 use crate::error::Refusal;
 use crate::message::{Reply, Request};
 use crate::node::clock::Clock;
@@ -20,7 +20,7 @@
 
 /// Answers other VMs about workflows.
 pub(super) struct WorkflowHandler {
-    pub(super) seat: Arc<Seat>,
+    pub(super) seats: Arc<Seats>,
     pub(super) gateway: Arc<Gateway>,
     pub(super) directory: Arc<Directory>,
     /// The store, directly: a call is relayed once.
@@ -33,29 +33,28 @@
     async fn answer(&self, ask: Ask) -> Told {
         match ask {
             Ask::Ping {
+                shard,
                 member,
                 config_version,
             } => {
                 let now = self.clock.now();
                 self.directory.heard(member, now);
-                if !self.seat.is_owner() {
-                    return Told::NotOwner(self.directory.owner());
+                if !self.seats.get(shard).is_some_and(|seat| seat.is_owner()) {
+                    return Told::NotOwner(self.directory.owner(shard));
                 }
                 let config = self.gateway.config();
                 let newer = config.as_ref().as_ref();
                 let newer = newer.filter(|config| config.version > config_version);
                 Told::Pong {
-                    members: self.directory.members(now),
+                    members: self.directory.heard_members(now),
                     config: newer.cloned(),
                 }
             }
-            Ask::Submit { .. } | Ask::State(_) | Ask::Cancel(_) | Ask::Pending(_) => {
-                if !self.seat.is_owner() {
-                    return Told::NotOwner(self.directory.owner());
-                }
-                let told = self.seat.ask(&ask, OWNER_TIMEOUT).await;
-                told.unwrap_or(Told::Unknown)
-            }
+            Ask::Submit { id, .. } | Ask::State(id) | Ask::Cancel(id) => match self.seats.map() {
+                Some(map) => self.ask_owner(map.of_workflow(id), &ask).await,
+                None => Told::NotOwner(None),
+            },
+            Ask::Pending { shard, .. } => self.ask_owner(shard, &ask).await,
             Ask::Store { call, timeout_ms } => {
                 let timeout = Duration::from_millis(timeout_ms);
                 Told::Store(self.direct.call(&call, timeout).await)
@@ -68,10 +67,24 @@
                 let timeout = Duration::from_millis(timeout_ms);
                 Told::Permits(self.permits.ask(step, &workers, timeout).await)
             }
-            Ask::TakeOver { epoch } => {
-                self.seat.follow_now(epoch);
-                Told::Done
+            Ask::TakeOver { shard, epoch } => match self.seats.get(shard) {
+                Some(seat) => {
+                    seat.follow_now(epoch);
+                    Told::Done
+                }
+                None => Told::NotOwner(None),
+            },
+        }
+    }
+
+    /// Asks the owner of the shard, if it is on this VM.
+    async fn ask_owner(&self, shard: Shard, ask: &Ask) -> Told {
+        match self.seats.get(shard).filter(|seat| seat.is_owner()) {
+            Some(seat) => {
+                let told = seat.ask(ask, OWNER_TIMEOUT).await;
+                told.unwrap_or(Told::Unknown)
             }
+            None => Told::NotOwner(self.directory.owner(shard)),
         }
     }
 }
--- a/src/coordinator/layout.rs
+++ b/src/coordinator/layout.rs
@@ -1,16 +1,18 @@
 //! Where the records of workflows lie in the store.
 //!
-//! All records of one owner lie in one partition, since a transaction changes one partition only.
+//! All records of one owner lie in the partition of its shard, since a transaction changes one
+//! partition only. What other VMs hand over lies in a partition beside it, so that they never hold up
+//! the owner's transactions.
 
 use serde::{Deserialize, Serialize};
 
+use super::shards::Shard;
 use crate::model::VmName;
 use crate::port::records::RecordKey;
-use crate::workflow::record::WorkflowRecord;
-use crate::workflow::{NameError, WorkflowId};
+use crate::workflow::{NameError, WorkflowId, WorkflowSpec};
 
-/// The partition of the only shard.
-pub(super) const PARTITION: &str = "main";
+/// How many shards there are.
+const SHARDS: &str = "shards";
 
 /// Who owns the workflows.
 pub(super) const OWNERS: &str = "owners";
@@ -24,7 +26,7 @@
 /// What VMs wrote while they did not reach the owner.
 pub(super) const HANDOVERS: &str = "handovers";
 
-/// The key of the owner, and of the list of workers.
+/// The key of records of which each partition has one.
 const ONLY_KEY: &str = "main";
 
 /// The table of the list of workers that tasks may run on.
@@ -57,40 +59,55 @@
 /// What a VM wrote for the owner to find.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum Handover {
-    /// A workflow, recorded as new in the same transaction.
-    Submitted(WorkflowRecord),
+    /// A workflow; its submitter was told that it is accepted.
+    Submitted(WorkflowSpec),
     /// A cancellation.
     Cancelled,
 }
 
-/// The record of the owner.
-pub(super) fn owner_key() -> RecordKey {
-    RecordKey::new(OWNERS, PARTITION, ONLY_KEY)
+/// The partition of a shard.
+pub(super) fn partition(shard: Shard) -> String {
+    format!("shard-{shard}")
 }
 
-/// The record of the list of workers.
-pub(super) fn workers_key() -> RecordKey {
-    RecordKey::new(WORKERS, PARTITION, ONLY_KEY)
+/// The partition of what VMs hand over to a shard's owner.
+pub(super) fn inbox(shard: Shard) -> String {
+    format!("inbox-{shard}")
+}
+
+/// The record of how many shards there are.
+pub(super) fn shards_key() -> RecordKey {
+    RecordKey::new(SHARDS, SHARDS, ONLY_KEY)
+}
+
+/// The record of a shard's owner.
+pub(super) fn owner_key(shard: Shard) -> RecordKey {
+    RecordKey::new(OWNERS, &partition(shard), ONLY_KEY)
+}
+
+/// The record of the list of a shard's workers.
+pub(super) fn workers_key(shard: Shard) -> RecordKey {
+    RecordKey::new(WORKERS, &partition(shard), ONLY_KEY)
 }
 
 /// The record of a workflow.
-pub(super) fn workflow_key(id: WorkflowId) -> RecordKey {
-    RecordKey::new(WORKFLOWS, PARTITION, id.to_string())
+pub(super) fn workflow_key(shard: Shard, id: WorkflowId) -> RecordKey {
+    RecordKey::new(WORKFLOWS, &partition(shard), id.to_string())
 }
 
 /// The record of a workflow's progress.
-pub(super) fn progress_key(id: WorkflowId) -> RecordKey {
-    RecordKey::new(PROGRESS, PARTITION, id.to_string())
+pub(super) fn progress_key(shard: Shard, id: WorkflowId) -> RecordKey {
+    RecordKey::new(PROGRESS, &partition(shard), id.to_string())
 }
 
 /// The record of a submission that was handed over.
-pub(super) fn submitted_key(id: WorkflowId) -> RecordKey {
-    RecordKey::new(HANDOVERS, PARTITION, format!("{id}.submitted"))
+pub(super) fn submitted_key(shard: Shard, id: WorkflowId) -> RecordKey {
+    RecordKey::new(HANDOVERS, &inbox(shard), format!("{id}.submitted"))
 }
 
 /// The record of a cancellation that was handed over.
-pub(super) fn cancelled_key(id: WorkflowId) -> RecordKey {
-    RecordKey::new(HANDOVERS, PARTITION, format!("{id}.cancelled"))
+pub(super) fn cancelled_key(shard: Shard, id: WorkflowId) -> RecordKey {
+    RecordKey::new(HANDOVERS, &inbox(shard), format!("{id}.cancelled"))
 }
 
 /// The workflow that a record is about.
--- a/src/coordinator/ledger.rs
+++ b/src/coordinator/ledger.rs
@@ -6,6 +6,7 @@
 
 use super::layout::{self, OwnerRecord};
 use super::reader::{self, CALL_TIMEOUT};
+use super::shards::Shard;
 use crate::port::records::{
     Record, RecordKey, SharedRecords, StoreCall, StoreError, StoreReply, Transaction,
 };
@@ -15,12 +16,9 @@
 /// Before a transaction without a result is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// The most entries of a batch: a transaction holds at most 100, of which the owner's record takes two,
-/// the list of workers one, and handovers that are removed [`MAX_TAKEN`].
-pub(super) const MAX_ENTRIES: usize = 97 - MAX_TAKEN;
-
-/// The most handovers that are removed with one batch.
-pub(super) const MAX_TAKEN: usize = 8;
+/// The most entries of a batch: a transaction holds at most 100, of which the owner's record takes two
+/// and the list of workers one.
+pub(super) const MAX_ENTRIES: usize = 97;
 
 /// How often a transaction that the store did not take is sent, so that a short disturbance refuses
 /// nothing and a longer one is noticed within a quarter of the shortest objective of 250 ms.
@@ -55,38 +53,48 @@
 /// Writes batches, one at a time.
 #[derive(Debug, Clone)]
 pub(super) struct Ledger {
+    shard: Shard,
     pub(super) owner: OwnerRecord,
     /// The version of the owner's record.
     version: u64,
 }
 
 impl Ledger {
-    /// Tries to make `owner` the owner after the record of `version`, with 0 for none; `None` where
+    /// Tries to make `owner` the owner of the shard after the record of `version`, with 0 for none; `None` where
     /// another process was faster.
     pub(super) async fn claim(
         records: &SharedRecords,
+        shard: Shard,
         owner: OwnerRecord,
         version: u64,
     ) -> Result<Option<Self>, StoreError> {
         let transaction = Transaction {
-            expected: vec![(layout::owner_key(), version)],
-            puts: vec![(layout::owner_key(), encode(&owner)?)],
+            expected: vec![(layout::owner_key(shard), version)],
+            puts: vec![(layout::owner_key(shard), encode(&owner)?)],
             removals: Vec::new(),
         };
         let call = StoreCall::Commit(transaction);
         match records.call(&call, CALL_TIMEOUT).await {
-            Ok(StoreReply::Committed { version }) => Ok(Some(Self { owner, version })),
+            Ok(StoreReply::Committed { version }) => Ok(Some(Self {
+                shard,
+                owner,
+                version,
+            })),
             Ok(_) | Err(StoreError::Unknown(_)) => {
-                let found = reader::read_owner(records).await?;
+                let found = reader::read_owner(records, shard).await?;
                 let own = found.filter(|(found, _)| found.is_same_process(&owner));
-                Ok(own.map(|(owner, version)| Self { owner, version }))
+                Ok(own.map(|(owner, version)| Self {
+                    shard,
+                    owner,
+                    version,
+                }))
             }
             Err(error) => Err(error),
         }
     }
 
     /// Records a batch, however long that takes, unless it is certain that the store does not take
-    /// it. The handovers `taken` are removed with it.
+    /// it.
     ///
     /// A transaction without an answer is repeated with the same conditions, of which each change of
     /// the owner's record makes an end; so it takes effect once.
@@ -94,7 +102,6 @@
         &mut self,
         records: &SharedRecords,
         batch: &Batch,
-        taken: &[RecordKey],
         released: bool,
         watch: &dyn StoreWatch,
     ) -> Result<Recording, RecordError> {
@@ -105,7 +112,7 @@
         // Whether a transaction of this batch may still take effect.
         let mut open = false;
         loop {
-            let transaction = match self.transaction(batch, taken, &recording) {
+            let transaction = match self.transaction(batch, &recording) {
                 Ok(transaction) => transaction,
                 Err(error) => {
                     tracing::error!(%error, "a batch cannot be encoded");
@@ -148,7 +155,7 @@
 
     /// Reads from a conflict what happened: true where the transaction took effect before.
     fn resolve(&mut self, rows: &[Record], recording: &mut Recording) -> Result<bool, RecordError> {
-        let key = layout::owner_key();
+        let key = layout::owner_key(self.shard);
         let row = rows.iter().find(|row| row.key == key);
         let found = row.and_then(|row| Some((reader::decode::<OwnerRecord>(row)?, row.version)));
         let Some((found, version)) = found else {
@@ -171,32 +178,30 @@
         Ok(false)
     }
 
-    fn transaction(
-        &self,
-        batch: &Batch,
-        taken: &[RecordKey],
-        recording: &Recording,
-    ) -> Result<Transaction, StoreError> {
+    fn transaction(&self, batch: &Batch, recording: &Recording) -> Result<Transaction, StoreError> {
+        let shard = self.shard;
         let mut transaction = Transaction {
-            expected: vec![(layout::owner_key(), self.version)],
-            puts: vec![(layout::owner_key(), encode(&self.owner)?)],
-            removals: taken.to_vec(),
+            expected: vec![(layout::owner_key(shard), self.version)],
+            puts: vec![(layout::owner_key(shard), encode(&self.owner)?)],
+            removals: Vec::new(),
         };
         let exists = |id: &WorkflowId| recording.existing.iter().any(|(known, _)| known == id);
         for (id, record) in batch.added.iter().filter(|(id, _)| !exists(id)) {
-            transaction.expected.push((layout::workflow_key(*id), 0));
-            put(&mut transaction, layout::workflow_key(*id), record)?;
+            transaction
+                .expected
+                .push((layout::workflow_key(shard, *id), 0));
+            put(&mut transaction, layout::workflow_key(shard, *id), record)?;
         }
         for (id, progress) in &batch.progress {
-            put(&mut transaction, layout::progress_key(*id), progress)?;
+            put(&mut transaction, layout::progress_key(shard, *id), progress)?;
         }
         for (id, state) in &batch.ended {
             let record = WorkflowRecord::Ended(*state);
-            put(&mut transaction, layout::workflow_key(*id), &record)?;
-            transaction.removals.push(layout::progress_key(*id));
+            put(&mut transaction, layout::workflow_key(shard, *id), &record)?;
+            transaction.removals.push(layout::progress_key(shard, *id));
         }
         if let Some(workers) = &batch.workers {
-            put(&mut transaction, layout::workers_key(), workers)?;
+            put(&mut transaction, layout::workers_key(shard), workers)?;
         }
         Ok(transaction)
     }
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::shards::Shard;
 use crate::model::{QueueName, VmName, WorkerName};
 use crate::port::executor::{PermitError, Permits};
 use crate::port::records::{StoreCall, StoreError, StoreReply};
@@ -21,19 +22,26 @@
     pub started_unix_ms: u64,
     /// What its processor does, in thousandths of a core.
     pub cpu_milli: u32,
+    /// How many shards it owns.
+    pub owned: u16,
 }
 
 impl Member {
-    /// Whether this VM is enough larger than `other` to run the workflows in its place: a smaller
-    /// difference is not worth a change of owners.
-    pub fn is_larger_than(&self, other: &Self) -> bool {
-        /// How much larger, in percent.
-        const LARGER_PERCENT: u64 = 150;
-        u64::from(self.cpu_milli) * 100 >= u64::from(other.cpu_milli) * LARGER_PERCENT
+    /// What its processor leaves for each shard if it owns so many.
+    pub(super) fn share(&self, shards: u16) -> u32 {
+        self.cpu_milli / u32::from(shards.max(1))
+    }
+
+    /// Whether it has so much more room for one more shard than an owner whose shards get `share`
+    /// each that this is worth a change of owners.
+    pub(super) fn outweighs(&self, share: u32) -> bool {
+        /// How much more, in percent.
+        const WORTH_PERCENT: u64 = 150;
+        u64::from(self.share(self.owned + 1)) * 100 >= u64::from(share) * WORTH_PERCENT
     }
 }
 
-/// The owner of all workflows, as far as a VM knows.
+/// The owner of a shard, as far as a VM knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerHint {
     /// Grows from owner to owner.
@@ -45,8 +53,10 @@
 /// A question to another VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
-    /// Tells the owner that a VM lives.
+    /// Tells the owner of a shard that a VM lives.
     Ping {
+        /// The shard.
+        shard: Shard,
         /// The VM.
         member: Member,
         /// The version of the configuration that it has.
@@ -63,8 +73,13 @@
     State(WorkflowId),
     /// Asks the owner to cancel a workflow.
     Cancel(WorkflowId),
-    /// Asks the owner how many workflows of a queue have started nothing.
-    Pending(QueueName),
+    /// Asks the owner of a shard how many workflows of a queue have started nothing.
+    Pending {
+        /// The shard.
+        shard: Shard,
+        /// The queue.
+        queue: QueueName,
+    },
     /// Asks for a call of the store that the asker cannot make itself.
     Store {
         /// The call.
@@ -81,8 +96,10 @@
         /// How long the question may take, in milliseconds.
         timeout_ms: u64,
     },
-    /// Asks the receiver to become the owner, as the one with this epoch has given up.
+    /// Asks the receiver to become the owner of a shard, as the one with this epoch has given up.
     TakeOver {
+        /// The shard.
+        shard: Shard,
         /// The epoch that has ended.
         epoch: u64,
     },
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -1,9 +1,10 @@
 //! Runs workflows on the users' platform: identical processes, one on each VM.
 //!
-//! Callers are answered by any VM ([`gateway`]). One VM at a time owns the workflows: it runs the
-//! engine and writes to the store, each time on the condition that it still is the owner. The others
-//! hand it what callers ask, ask for permits on its behalf, and follow it when it is lost. A VM that
-//! the store turns away has its calls made by another.
+//! Callers are answered by any VM ([`gateway`]). Workflows and workers are shared out over shards
+//! ([`shards`]), as many as the workers need. One VM at a time owns a shard: it runs the engine and
+//! writes to the store, each time on the condition that it still is the owner. The others hand it what
+//! callers ask, ask for permits on its behalf, and follow it when it is lost. A VM that the store turns
+//! away has its calls made by another.
 
 pub mod desk;
 pub mod directory;
@@ -16,10 +17,12 @@
 mod ledger;
 pub mod message;
 mod node;
+mod outbox;
 mod owner;
 mod reader;
 mod relay;
 mod seat;
 pub mod settings;
+pub mod shards;
 
 pub use node::{Coordinator, Ports};
--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -1,8 +1,9 @@
-//! One VM: ties the seat, the gateway and the listener for other VMs together.
+//! One VM: ties the seats, the gateway and the listener for other VMs together.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use futures_util::future::join_all;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -14,6 +15,7 @@
 use super::relay::RelayedRecords;
 use super::seat::Seat;
 use super::settings::CoordinatorSettings;
+use super::shards::{self, Seats};
 use crate::adapter::nng::{NngPeers, NngServer};
 use crate::error::Result;
 use crate::metrics::Metrics;
@@ -61,7 +63,7 @@
 /// One VM that runs workflows.
 pub struct Coordinator {
     gateway: Arc<Gateway>,
-    seat: Arc<Seat>,
+    seats: Arc<Seats>,
     server: NngServer,
     tasks: JoinSet<()>,
 }
@@ -79,6 +81,7 @@
             address: settings.peers,
             started_unix_ms: unix_ms(),
             cpu_milli: settings.cpu_milli(),
+            owned: 0,
         };
         let directory = Arc::new(Directory::new(me.clone(), settings.seeds.clone()));
         let peers = Arc::new(NngPeers::new(NO_SECRET));
@@ -104,18 +107,18 @@
         let cfg = EngineConfig {
             lease_ms: LEASE_MS.min(settings.lease_max_ms),
         };
-        let seat = Arc::new(Seat::new(me, cfg, owner_ports, queues));
+        let seats = Arc::new(Seats::default());
         let gateway = Gateway::new(
-            records,
+            records.clone(),
             peers,
             directory.clone(),
-            seat.clone(),
+            seats.clone(),
             clock,
             ports.metrics,
         );
         let gateway = Arc::new(gateway);
         let handler = WorkflowHandler {
-            seat: seat.clone(),
+            seats: seats.clone(),
             gateway: gateway.clone(),
             directory: directory.clone(),
             direct: ports.records,
@@ -128,20 +131,24 @@
             queues: queues_tx,
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(feed_config(
-            feeds,
-            config.clone(),
-            seat.clone(),
-            directory.clone(),
-        ));
-        let known = config.clone();
-        tasks.spawn(
-            seat.clone()
-                .run(move || known.version(), move |newer| config.learn(newer)),
-        );
+        tasks.spawn(feed_config(feeds.clone(), config.clone(), directory));
+        let set = seats.clone();
+        tasks.spawn(async move {
+            let map = shards::settle(&records, &feeds).await;
+            let seat = |shard| Seat::new(shard, map, cfg, owner_ports.clone(), queues.clone());
+            let all: Vec<Arc<Seat>> = map.all().map(seat).map(Arc::new).collect();
+            set.set(map, all.clone());
+            let mut running = JoinSet::new();
+            for seat in all {
+                let (known, learning) = (config.clone(), config.clone());
+                running
+                    .spawn(seat.run(move || known.version(), move |newer| learning.learn(newer)));
+            }
+            running.join_all().await;
+        });
         Ok(Self {
             gateway,
-            seat,
+            seats,
             server,
             tasks,
         })
@@ -152,9 +159,9 @@
         self.gateway.clone()
     }
 
-    /// Gives the workflows up, if this VM owns them; callers are answered on.
+    /// Gives up the shards that this VM owns; callers are answered on.
     pub async fn hand_over(&self) {
-        self.seat.stop().await;
+        join_all(self.seats.all().iter().map(|seat| seat.stop())).await;
     }
 
     /// Ends.
@@ -187,16 +194,10 @@
 
 /// Learns versions of the configuration from their feed. A feed whose history is cut may pass over
 /// one, so a VM that cannot learn it from an owner reads the version in force as a whole too.
-async fn feed_config(
-    feeds: SharedFeeds,
-    config: Arc<Config>,
-    seat: Arc<Seat>,
-    directory: Arc<Directory>,
-) {
+async fn feed_config(feeds: SharedFeeds, config: Arc<Config>, directory: Arc<Directory>) {
     let mut version = None;
     loop {
-        let learns_alone =
-            seat.is_owner() || directory.owner().is_none() || directory.is_owner_silent();
+        let learns_alone = directory.me().owned > 0 || !directory.hears_an_owner();
         if version.is_some() && learns_alone {
             version = None;
             tokio::time::sleep(CONFIG_INTERVAL).await;
--- /dev/null
+++ b/src/coordinator/outbox.rs
@@ -0,0 +1,131 @@
+//! What a VM hands over to owners through the store, several rows in one transaction.
+//!
+//! While an owner is not reached, each VM writes what its callers send. One transaction a row would be
+//! more than the store takes, so rows that come while a transaction is under way go with the next.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::reader::CALL_TIMEOUT;
+use super::shards::Shard;
+use crate::port::records::{
+    RecordKey, SharedRecords, StoreCall, StoreError, StoreReply, Transaction,
+};
+
+/// The most rows of one transaction: half of what the store allows, since a workflow takes up to
+/// 20 KB of the megabyte that a transaction may hold.
+const MAX_ROWS: usize = 48;
+
+/// Before a transaction rows gather for so long, so that all VMs together stay below the 200
+/// transactions a second of a partition.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// A row that waits, and who waits for it.
+struct Waiting {
+    key: RecordKey,
+    value: Vec<u8>,
+    tx: oneshot::Sender<Result<(), StoreError>>,
+}
+
+/// Rows for one shard's owner.
+#[derive(Default)]
+struct Queue {
+    rows: Vec<Waiting>,
+    /// Whether a task writes them.
+    writing: bool,
+}
+
+/// Writes handovers.
+#[derive(Clone)]
+pub(super) struct Outbox {
+    records: SharedRecords,
+    queues: Arc<Mutex<HashMap<Shard, Queue>>>,
+}
+
+impl Outbox {
+    pub(super) fn new(records: SharedRecords) -> Self {
+        Self {
+            records,
+            queues: Arc::default(),
+        }
+    }
+
+    /// Writes a row for the owner of the shard.
+    ///
+    /// # Errors
+    ///
+    /// Those of the store; [`StoreError::Unknown`] also where the transaction is still under way
+    /// after `limit`.
+    pub(super) async fn write(
+        &self,
+        shard: Shard,
+        key: RecordKey,
+        value: Vec<u8>,
+        limit: Duration,
+    ) -> Result<(), StoreError> {
+        let (tx, rx) = oneshot::channel();
+        let begins = {
+            let mut queues = self.lock();
+            let queue = queues.entry(shard).or_default();
+            queue.rows.push(Waiting { key, value, tx });
+            !std::mem::replace(&mut queue.writing, true)
+        };
+        if begins {
+            tokio::spawn(self.clone().write_all(shard));
+        }
+        match tokio::time::timeout(limit, rx).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(StoreError::Unknown("the process ends".to_owned())),
+            Err(_) => Err(StoreError::Unknown("no result in time".to_owned())),
+        }
+    }
+
+    /// Writes what waits for the shard's owner until nothing waits.
+    async fn write_all(self, shard: Shard) {
+        loop {
+            tokio::time::sleep(GATHER).await;
+            let rows = {
+                let mut queues = self.lock();
+                let queue = queues.entry(shard).or_default();
+                // Rows whose callers gave up before they were sent are not worth a write.
+                queue.rows.retain(|row| !row.tx.is_closed());
+                let count = queue.rows.len().min(MAX_ROWS);
+                let rows: Vec<Waiting> = queue.rows.drain(..count).collect();
+                queue.writing = !rows.is_empty();
+                rows
+            };
+            if rows.is_empty() {
+                return;
+            }
+            let puts = rows.iter().map(|row| (row.key.clone(), row.value.clone()));
+            let call = StoreCall::Commit(Transaction {
+                puts: puts.collect(),
+                ..Transaction::default()
+            });
+            let result = match self.records.call(&call, CALL_TIMEOUT).await {
+                Ok(StoreReply::Committed { .. }) => Ok(()),
+                Ok(other) => Err(StoreError::Unknown(format!(
+                    "an unexpected reply: {other:?}"
+                ))),
+                Err(error) => Err(error),
+            };
+            tracing::info!(
+                shard = shard.0,
+                rows = rows.len(),
+                ?result,
+                "handovers are written"
+            );
+            for row in rows {
+                // A caller that no longer waits needs no answer.
+                let _ = row.tx.send(result.clone());
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Shard, Queue>> {
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -1,6 +1,5 @@
-//! The actor that runs the engine on the VM that owns the workflows.
+//! The actor that runs the engine on the VM that owns a shard.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +14,9 @@
 use super::directory::Directory;
 use super::health::Health;
 use super::layout::{self, Handover};
-use super::ledger::{Ledger, MAX_ENTRIES, MAX_TAKEN, RecordError, Recording};
+use super::ledger::{Ledger, MAX_ENTRIES, RecordError, Recording};
 use super::message::{Member, Told};
+use super::shards::{Shard, ShardMap};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::model::{QueueName, Time, WorkerName};
 use crate::node::clock::Clock;
@@ -25,7 +25,6 @@
 use crate::port::peer::SharedPeers;
 use crate::port::permits::SharedPermits;
 use crate::port::records::{RecordKey, SharedRecords};
-use crate::workflow::record::{Progress, WorkflowState};
 use crate::workflow::{
     Batch, Cancelling, Effect, Engine, QueuePolicy, StepId, Submission, TaskId, Token, WorkerKey,
     WorkflowId, WorkflowSpec,
@@ -103,8 +102,8 @@
     /// The list of workers changed.
     Workers(News<WorkerChange>),
     /// VMs that did not reach the owner wrote these to the store; workflows come before
-    /// cancellations.
-    HandedOver(Vec<(WorkflowId, Handover)>),
+    /// cancellations. The answer names those whose effect is recorded.
+    HandedOver(Vec<(WorkflowId, Handover)>, oneshot::Sender<Vec<RecordKey>>),
     /// A configuration came into force.
     Queues(Vec<QueuePolicy>),
     /// Time passes.
@@ -117,8 +116,6 @@
 pub(super) struct Recorded {
     ledger: Ledger,
     batch: Batch,
-    /// The handovers that it removes.
-    taken: Vec<RecordKey>,
     recording: Result<Recording, RecordError>,
 }
 
@@ -138,7 +135,8 @@
     /// `None` while a transaction is under way.
     ledger: Option<Ledger>,
     pub(super) ports: OwnerPorts,
-    me: Member,
+    shard: Shard,
+    shards: ShardMap,
     pub(super) desk: Desk,
     callers: Slab<oneshot::Sender<Told>>,
     health: Arc<Health>,
@@ -147,8 +145,6 @@
     releasing: Option<Ending>,
     /// Who waits for that.
     release: Option<oneshot::Sender<()>>,
-    /// Handovers that are taken up and can be removed.
-    taken: BTreeSet<RecordKey>,
     began: Time,
     ended: watch::Sender<Option<Ending>>,
 }
@@ -160,7 +156,7 @@
         engine: Engine,
         ledger: Ledger,
         ports: OwnerPorts,
-        me: Member,
+        (shard, shards): (Shard, ShardMap),
         ended: watch::Sender<Option<Ending>>,
     ) -> Self {
         Self {
@@ -170,12 +166,12 @@
             last_commit: ports.clock.now(),
             began: ports.clock.now(),
             ports,
-            me,
+            shard,
+            shards,
             desk: Desk::default(),
             callers: Slab::new(),
             releasing: None,
             release: None,
-            taken: BTreeSet::new(),
             ended,
         }
     }
@@ -229,7 +225,11 @@
             }
             Event::Recorded(recorded) => self.recorded(*recorded, now),
             Event::Workers(news) => self.workers(news, now),
-            Event::HandedOver(handovers) => self.handed_over(handovers, now),
+            Event::HandedOver(handovers, tx) => {
+                let settled = self.handed_over(handovers, now);
+                // A feed that is gone leaves the handovers to the next owner.
+                let _ = tx.send(settled);
+            }
             Event::Queues(queues) => self.engine.set_queues(queues),
             Event::Tick => self.tick(now),
             Event::Release(tx) => {
@@ -275,21 +275,12 @@
 
     fn tick(&mut self, now: Time) {
         let members = self.ports.directory.members(now);
-        let larger = members
-            .iter()
-            .find(|member| member.is_larger_than(&self.me));
-        if let Some(larger) = larger
-            && self.releasing.is_none()
-            && now.since(self.began) >= YIELD_AFTER
-        {
-            tracing::info!(vm = %larger.vm, cpu_milli = larger.cpu_milli, own_cpu_milli = self.me.cpu_milli,
-                "a larger VM is to follow");
-            self.releasing = Some(Ending::Yielded);
-        }
+        self.yield_to_larger(&members, now);
         let vms: Vec<SocketAddr> = members.into_iter().map(|member| member.address).collect();
         self.ports.metrics.gauge(Gauge::VmsLive, vms.len() as u64);
-        self.desk.set_vms(&vms);
-        self.engine.set_askers(vms.len());
+        let askers = self.askers(vms);
+        self.desk.set_vms(&askers);
+        self.engine.set_askers(askers.len());
         if self.releasing.is_none() && self.is_cut_off(now) {
             tracing::warn!("no other VM is heard of any more; one that is reached is to follow");
             self.releasing = Some(Ending::CutOff);
@@ -303,6 +294,42 @@
         }
     }
 
+    /// Gives the shard up if a VM is there that has much more room for it.
+    fn yield_to_larger(&mut self, members: &[Member], now: Time) {
+        if self.releasing.is_some() || now.since(self.began) < YIELD_AFTER {
+            return;
+        }
+        let me = self.ports.directory.me();
+        let share = me.share(me.owned);
+        let larger = members
+            .iter()
+            .find(|member| member.vm != me.vm && member.outweighs(share));
+        if let Some(larger) = larger
+            && self.ports.directory.may_yield(now)
+        {
+            tracing::info!(shard = self.shard.0, vm = %larger.vm, cpu_milli = larger.cpu_milli,
+                owned = larger.owned, own_cpu_milli = me.cpu_milli, own_owned = me.owned,
+                "a VM with more room is to follow");
+            self.releasing = Some(Ending::Yielded);
+        }
+    }
+
+    /// The VMs that ask about permits for this shard: each of them asks for one shard where there
+    /// are enough, since the service answers one question of a VM at a time.
+    fn askers(&self, mut vms: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        /// Fewer VMs a shard are shared.
+        const LEAST_VMS: usize = 2;
+        let shards = self.shards.all().count();
+        if vms.len() < shards * LEAST_VMS {
+            return vms;
+        }
+        vms.sort_unstable();
+        let own = usize::from(self.shard.0);
+        let of_shard = vms.into_iter().enumerate();
+        let of_shard = of_shard.filter(|(i, _)| i % shards == own);
+        of_shard.map(|(_, vm)| vm).collect()
+    }
+
     /// Whether other VMs were heard of since this one owns the workflows, and no longer are.
     fn is_cut_off(&self, now: Time) -> bool {
         let heard = self.ports.directory.heard_at();
@@ -326,30 +353,39 @@
         }
     }
 
-    fn handed_over(&mut self, handovers: Vec<(WorkflowId, Handover)>, now: Time) {
+    /// Takes handovers up and returns those whose effect is recorded.
+    fn handed_over(&mut self, handovers: Vec<(WorkflowId, Handover)>, now: Time) -> Vec<RecordKey> {
+        let mut settled = Vec::new();
         for (id, handover) in handovers {
             match handover {
-                Handover::Submitted(record) => {
-                    if self.taken.insert(layout::submitted_key(id)) {
-                        tracing::info!(request = %id, "a workflow was handed over through the store");
-                        self.engine.load(id, record, &Progress::default(), now);
+                Handover::Submitted(spec) => {
+                    if self.engine.hand_in(id, spec, now) == Submission::Accepted {
+                        settled.push(layout::submitted_key(self.shard, id));
+                    }
+                }
+                Handover::Cancelled => {
+                    if self.cancellation_handed_over(id, now) {
+                        settled.push(layout::cancelled_key(self.shard, id));
                     }
                 }
-                Handover::Cancelled => self.cancellation_handed_over(id, now),
             }
         }
+        settled
     }
 
-    /// Takes up a cancellation. No one waits: the caller was answered when it was written.
-    fn cancellation_handed_over(&mut self, id: WorkflowId, now: Time) {
-        let ended = self.engine.state(id).is_some_and(WorkflowState::is_final);
-        if ended {
-            self.taken.insert(layout::cancelled_key(id));
-            return;
-        }
-        tracing::info!(request = %id, "a cancellation was handed over through the store");
-        if self.engine.cancel(id, None, now) == Cancelling::Unknown {
-            tracing::warn!(request = %id, "a cancelled workflow is not known yet");
+    /// Takes up a cancellation; true where it is recorded. No one waits: the caller was answered when
+    /// it was written.
+    fn cancellation_handed_over(&mut self, id: WorkflowId, now: Time) -> bool {
+        match self.engine.cancel(id, None, now) {
+            Cancelling::Ended => true,
+            Cancelling::Waits => {
+                tracing::info!(request = %id, "a cancellation was handed over through the store");
+                false
+            }
+            Cancelling::Unknown => {
+                tracing::warn!(request = %id, "a cancelled workflow is not known yet");
+                false
+            }
         }
     }
 
@@ -367,9 +403,6 @@
         match recorded.recording {
             Ok(recording) => {
                 self.engine.committed(batch, &recording.existing, now);
-                for key in &recorded.taken {
-                    self.taken.remove(key);
-                }
             }
             Err(RecordError::NotDone) => {
                 tracing::warn!(refused = batch.added.len(), "a batch is not recorded");
@@ -379,14 +412,15 @@
             Err(RecordError::Overtaken) => {
                 tracing::warn!(
                     age_ms = now.since(self.last_commit).as_millis(),
-                    "another process owns the workflows"
+                    shard = self.shard.0,
+                    "another process owns the shard"
                 );
                 self.end(Ending::Overtaken);
                 return;
             }
         }
         if released {
-            tracing::info!("the workflows are given up");
+            tracing::info!(shard = self.shard.0, "a shard is given up");
             self.end(self.releasing.unwrap_or(Ending::Released));
         }
     }
@@ -466,17 +500,15 @@
         self.last_commit = now;
         let release = releasing && batch.is_none();
         let batch = batch.unwrap_or_default();
-        let taken: Vec<RecordKey> = self.taken.iter().take(MAX_TAKEN).cloned().collect();
         let (records, health, me) = (self.ports.records.clone(), self.health.clone(), me.clone());
         tokio::spawn(async move {
             let recording = ledger
-                .record(&records, &batch, &taken, release, health.as_ref())
+                .record(&records, &batch, release, health.as_ref())
                 .await;
             let _ = me
                 .tell(Event::Recorded(Box::new(Recorded {
                     ledger,
                     batch,
-                    taken,
                     recording,
                 })))
                 .await;
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -5,6 +5,7 @@
 use serde::de::DeserializeOwned;
 
 use super::layout::{self, Handover, OwnerRecord};
+use super::shards::Shard;
 use crate::port::executor::WorkerListing;
 use crate::port::records::{Record, RecordKey, SharedRecords, StoreCall, StoreError, StoreReply};
 use crate::workflow::WorkflowId;
@@ -45,11 +46,12 @@
     }
 }
 
-/// Reads who owns the workflows, with the version of the record.
+/// Reads who owns the shard, with the version of the record.
 pub(super) async fn read_owner(
     records: &SharedRecords,
+    shard: Shard,
 ) -> Result<Option<(OwnerRecord, u64)>, StoreError> {
-    let Some(row) = read_one(records, &layout::owner_key()).await? else {
+    let Some(row) = read_one(records, &layout::owner_key(shard)).await? else {
         return Ok(None);
     };
     let version = row.version;
@@ -59,19 +61,25 @@
 /// Reads how a workflow stands; `None` where it is not recorded.
 pub(super) async fn read_state(
     records: &SharedRecords,
+    shard: Shard,
     id: WorkflowId,
 ) -> Result<Option<WorkflowState>, StoreError> {
-    let Some(row) = read_one(records, &layout::workflow_key(id)).await? else {
-        return Ok(None);
+    let recorded = read_one(records, &layout::workflow_key(shard, id)).await?;
+    let active = match recorded.as_ref().map(decode::<WorkflowRecord>) {
+        Some(Some(WorkflowRecord::Ended(state))) => return Ok(Some(state)),
+        Some(Some(WorkflowRecord::Active(_))) => true,
+        Some(None) => return Err(StoreError::Rejected("the record cannot be read".to_owned())),
+        None => false,
     };
-    match decode::<WorkflowRecord>(&row) {
-        Some(WorkflowRecord::Ended(state)) => return Ok(Some(state)),
-        Some(WorkflowRecord::Active(_)) => {}
-        None => return Err(StoreError::Rejected("the record cannot be read".to_owned())),
+    if !active {
+        let handed_over = read_one(records, &layout::submitted_key(shard, id)).await?;
+        if handed_over.is_none() {
+            return Ok(None);
+        }
     }
-    let progress = read_one(records, &layout::progress_key(id)).await?;
+    let progress = read_one(records, &layout::progress_key(shard, id)).await?;
     let progress = progress.and_then(|row| decode::<Progress>(&row));
-    let cancelled = read_one(records, &layout::cancelled_key(id)).await?;
+    let cancelled = read_one(records, &layout::cancelled_key(shard, id)).await?;
     let cancelled = cancelled.is_some() || progress.as_ref().is_some_and(|known| known.cancelled);
     Ok(Some(if cancelled {
         WorkflowState::Cancelled
@@ -82,12 +90,16 @@
     }))
 }
 
-/// Reads all records of workflows.
-pub(super) async fn read_all(records: &SharedRecords) -> Result<Recorded, StoreError> {
-    let handovers = read_handovers(records).await?;
-    let workflows = scan(records, layout::WORKFLOWS).await?;
-    let progress = scan(records, layout::PROGRESS).await?;
-    let workers = read_one(records, &layout::workers_key()).await?;
+/// Reads all records of a shard.
+pub(super) async fn read_all(
+    records: &SharedRecords,
+    shard: Shard,
+) -> Result<Recorded, StoreError> {
+    let handovers = read_handovers(records, shard).await?;
+    let partition = layout::partition(shard);
+    let workflows = scan(records, layout::WORKFLOWS, &partition).await?;
+    let progress = scan(records, layout::PROGRESS, &partition).await?;
+    let workers = read_one(records, &layout::workers_key(shard)).await?;
     let mut known: std::collections::HashMap<WorkflowId, Progress> = progress
         .iter()
         .filter_map(|row| Some((id_of(row)?, decode::<Progress>(row)?)))
@@ -113,8 +125,9 @@
 /// one of them.
 pub(super) async fn read_handovers(
     records: &SharedRecords,
+    shard: Shard,
 ) -> Result<Vec<(WorkflowId, Handover)>, StoreError> {
-    let rows = scan(records, layout::HANDOVERS).await?;
+    let rows = scan(records, layout::HANDOVERS, &layout::inbox(shard)).await?;
     let mut handovers: Vec<(WorkflowId, Handover)> = rows
         .iter()
         .filter_map(|row| Some((id_of(row)?, decode(row)?)))
@@ -123,14 +136,18 @@
     Ok(handovers)
 }
 
-async fn scan(records: &SharedRecords, table: &str) -> Result<Vec<Record>, StoreError> {
+async fn scan(
+    records: &SharedRecords,
+    table: &str,
+    partition: &str,
+) -> Result<Vec<Record>, StoreError> {
     let mut rows: Vec<Record> = Vec::new();
     loop {
         // The last key followed by the smallest character that keys of workflows do not contain.
         let from = rows.last().map(|last| format!("{}!", last.key.key));
         let call = StoreCall::Scan {
             table: table.to_owned(),
-            partition: layout::PARTITION.to_owned(),
+            partition: partition.to_owned(),
             from: from.unwrap_or_default(),
             to: None,
             limit: PAGE,
--- a/src/coordinator/relay.rs
+++ b/src/coordinator/relay.rs
@@ -70,8 +70,12 @@
                 }
                 Err(error @ StoreError::Rejected(_)) => return Err(error),
                 Err(error) => {
-                    let until = self.clock.now() + AVOID;
-                    self.set_way(Way::AvoidedUntil(until), &error.to_string());
+                    // A feed also breaks where the store cuts its history, which says nothing about
+                    // other calls.
+                    if !matches!(call, StoreCall::Changes { .. }) {
+                        let until = self.clock.now() + AVOID;
+                        self.set_way(Way::AvoidedUntil(until), &error.to_string());
+                    }
                     // A transaction whose effect is open is repeated only by who knows how.
                     let is_commit = matches!(call, StoreCall::Commit(_));
                     if is_commit && matches!(error, StoreError::Unknown(_)) {
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -1,4 +1,4 @@
-//! Whether this VM owns the workflows: follows the owner, and takes its place when it is lost.
+//! Whether this VM owns a shard: follows the shard's owner, and takes its place when it is lost.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -6,17 +6,19 @@
 use kameo::actor::{ActorRef, Spawn};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::layout::{Handover, OwnerRecord};
-use super::ledger::{Ledger, RecordError, StoreWatch};
-use super::message::{Ask, Member, OwnerHint, Told};
+use super::ledger::{Ledger, MAX_ENTRIES, RecordError, StoreWatch};
+use super::message::{Ask, OwnerHint, Told};
 use super::owner::{Ending, Event, HEARTBEAT, Owner, OwnerPorts};
-use super::reader::{self, Recorded};
+use super::reader::{self, CALL_TIMEOUT, Recorded};
+use super::shards::{Shard, ShardMap};
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
-use crate::model::{Time, VmName};
+use crate::model::{Time, VmName, WorkerName};
 use crate::port::feeds::{News, WorkerChange};
-use crate::port::records::StoreError;
+use crate::port::records::{RecordKey, StoreCall, StoreError, Transaction};
 use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy, WorkflowId};
 
 /// Between two pings of the owner.
@@ -77,9 +79,14 @@
     fn succeeded(&self) {}
 }
 
-/// The seat of the owner on this VM.
+/// VMs that start together try to become the first owner of a shard at different times within so
+/// long, so that one of them does not take all shards.
+const FIRST_CLAIM_SPREAD_MS: u64 = 400;
+
+/// The seat of a shard's owner on this VM.
 pub(super) struct Seat {
-    me: Member,
+    shard: Shard,
+    map: ShardMap,
     cfg: EngineConfig,
     ports: OwnerPorts,
     queues: watch::Receiver<Vec<QueuePolicy>>,
@@ -90,13 +97,15 @@
 
 impl Seat {
     pub(super) fn new(
-        me: Member,
+        shard: Shard,
+        map: ShardMap,
         cfg: EngineConfig,
         ports: OwnerPorts,
         queues: watch::Receiver<Vec<QueuePolicy>>,
     ) -> Self {
         Self {
-            me,
+            shard,
+            map,
             cfg,
             ports,
             queues,
@@ -111,14 +120,18 @@
         self.lock().clone()
     }
 
-    /// Whether this VM owns the workflows.
+    /// Whether this VM owns the shard.
     pub(super) fn is_owner(&self) -> bool {
         self.lock().is_some()
     }
 
-    /// Takes the owner's place at once, if the owner of `epoch` has given up.
+    /// Takes the owner's place, if the owner of `epoch` has given up.
     pub(super) fn follow_now(&self, epoch: u64) {
-        tracing::info!(epoch, "this VM is asked to follow an owner that gives up");
+        tracing::info!(
+            shard = self.shard.0,
+            epoch,
+            "this VM is asked to follow an owner that gives up"
+        );
         self.asked_to_follow.notify_one();
     }
 
@@ -142,7 +155,7 @@
                 continue;
             }
             missed += 1;
-            if missed >= PINGS_MISSED || self.ports.directory.owner().is_none() {
+            if missed >= PINGS_MISSED || self.ports.directory.owner(self.shard).is_none() {
                 self.watch_record(&mut silent, false).await;
                 self.pause(WATCH_INTERVAL).await;
             }
@@ -161,28 +174,29 @@
 
     /// Tells the owner that this VM lives; false where it does not answer.
     async fn ping(&self, config_version: u64, learn: &impl Fn(QueueConfig)) -> bool {
-        let Some(owner) = self.ports.directory.owner() else {
+        let Some(owner) = self.ports.directory.owner(self.shard) else {
             return false;
         };
         let request = Request::Workflow(Ask::Ping {
-            member: self.me.clone(),
+            shard: self.shard,
+            member: self.ports.directory.me(),
             config_version,
         });
         let reply = self.ports.peers.call(owner.address, &request, PING_TIMEOUT);
         let reply = reply.await;
         let answered = matches!(reply, Ok(Reply::Workflow(Told::Pong { .. })));
-        self.ports.directory.owner_answered(answered);
+        self.ports.directory.owner_answered(self.shard, answered);
         match reply {
             Ok(Reply::Workflow(Told::Pong { members, config })) => {
                 let now = self.ports.clock.now();
-                self.ports.directory.set_members(members, now);
+                self.ports.directory.told_of(members, now);
                 if let Some(config) = config {
                     learn(config);
                 }
                 true
             }
             Ok(Reply::Workflow(Told::NotOwner(Some(hint)))) if hint.epoch > owner.epoch => {
-                self.ports.directory.set_owner(hint);
+                self.ports.directory.set_owner(self.shard, hint);
                 true
             }
             Ok(other) => {
@@ -199,7 +213,7 @@
     /// Looks at the owner's record; takes the owner's place where it has given up or stood still. A
     /// VM that is not `asked` to follow lets larger ones go first.
     async fn watch_record(&self, silent: &mut Option<Silent>, asked: bool) {
-        let found = match reader::read_owner(&self.ports.records).await {
+        let found = match reader::read_owner(&self.ports.records, self.shard).await {
             Ok(found) => found,
             Err(error) => {
                 tracing::debug!(%error, "the owner's record cannot be read");
@@ -207,15 +221,20 @@
             }
         };
         let now = self.ports.clock.now();
+        let me = self.ports.directory.me();
         let Some((record, version)) = found else {
+            let key = format!("{} {}", me.vm, self.shard);
+            let pause = xxh3_64(key.as_bytes()) % FIRST_CLAIM_SPREAD_MS;
+            tokio::time::sleep(Duration::from_millis(pause)).await;
             self.claim(0, 0).await;
             return;
         };
-        self.ports.directory.set_owner(OwnerHint {
+        let hint = OwnerHint {
             epoch: record.epoch,
             address: record.address,
-        });
-        let own_earlier = record.vm == self.me.vm;
+        };
+        self.ports.directory.set_owner(self.shard, hint);
+        let own_earlier = record.vm == me.vm;
         let since = match silent {
             Some(known) if known.version == version => known.since,
             _ => {
@@ -241,11 +260,15 @@
         }
     }
 
-    /// Whether a VM other than the `lost` one was heard of that is larger than this one.
+    /// Whether a VM other than the `lost` one was heard of that has much more room for the shard.
     fn knows_larger(&self, lost: &VmName, now: Time) -> bool {
         let members = self.ports.directory.members(now);
-        let mut others = members.iter().filter(|member| member.vm != *lost);
-        others.any(|member| member.is_larger_than(&self.me))
+        let me = self.ports.directory.me();
+        let share = me.share(me.owned + 1);
+        let mut others = members
+            .iter()
+            .filter(|member| member.vm != *lost && member.vm != me.vm);
+        others.any(|member| member.outweighs(share))
     }
 
     /// Tries to become the owner after the one of `epoch`.
@@ -254,21 +277,32 @@
         if *self.stopping.borrow() || self.queues.borrow().is_empty() {
             return;
         }
+        let me = self.ports.directory.me();
         let record = OwnerRecord {
-            vm: self.me.vm.clone(),
-            address: self.me.address,
-            started_unix_ms: self.me.started_unix_ms,
+            vm: me.vm,
+            address: me.address,
+            started_unix_ms: me.started_unix_ms,
             epoch: epoch + 1,
             transaction: 0,
             released: false,
         };
-        match Ledger::claim(&self.ports.records, record, version).await {
+        match Ledger::claim(&self.ports.records, self.shard, record, version).await {
             Ok(Some(ledger)) => {
-                tracing::info!(epoch = ledger.owner.epoch, "this VM owns the workflows");
+                tracing::info!(
+                    shard = self.shard.0,
+                    epoch = ledger.owner.epoch,
+                    "this VM owns a shard"
+                );
                 self.begin(ledger).await;
             }
-            Ok(None) => tracing::info!(epoch, "another VM was faster to follow the owner"),
-            Err(error) => tracing::warn!(%error, "the owner cannot be followed now"),
+            Ok(None) => tracing::info!(
+                shard = self.shard.0,
+                epoch,
+                "another VM was faster to follow the owner"
+            ),
+            Err(error) => {
+                tracing::warn!(shard = self.shard.0, %error, "the owner cannot be followed now")
+            }
         }
     }
 
@@ -282,8 +316,11 @@
         let mut engine = Engine::new(self.cfg, epoch);
         engine.set_queues(self.queues.borrow().clone());
         for change in listed.items {
-            if let WorkerChange::Listed(listing) = change {
-                engine.set_worker(listing, now);
+            match change {
+                WorkerChange::Listed(listing) if self.has(&listing.name) => {
+                    engine.set_worker(listing, now);
+                }
+                WorkerChange::Listed(_) | WorkerChange::Gone(_) => {}
             }
         }
         for listing in recorded.workers {
@@ -296,34 +333,51 @@
         for (id, record, progress) in recorded.workflows {
             engine.load(id, record, &progress, now);
         }
-        tracing::info!(epoch, workflows, "the recorded workflows are taken up");
+        tracing::info!(
+            shard = self.shard.0,
+            epoch,
+            workflows,
+            "the recorded workflows are taken up"
+        );
         self.ports.metrics.count(Counter::ShardsTaken, 1);
         let (ended, mut has_ended) = watch::channel(None);
-        let owner = Owner::new(engine, ledger, self.ports.clone(), self.me.clone(), ended);
+        let owner = Owner::new(
+            engine,
+            ledger,
+            self.ports.clone(),
+            (self.shard, self.map),
+            ended,
+        );
         let owner = Owner::spawn(owner);
         let mut tasks = JoinSet::new();
         tasks.spawn(Owner::run_ticks(owner.clone()));
         tasks.spawn(feed_workers(
             self.ports.clone(),
+            self.shard,
+            self.map,
             owner.clone(),
             listed.version,
         ));
         tasks.spawn(feed_handovers(
             self.ports.clone(),
+            self.shard,
             owner.clone(),
             recorded.handovers,
         ));
         tasks.spawn(feed_queues(self.queues.clone(), owner.clone()));
         *self.lock() = Some(owner);
-        self.ports.directory.set_owner(OwnerHint {
+        self.ports.directory.shard_taken();
+        let hint = OwnerHint {
             epoch,
-            address: self.me.address,
-        });
+            address: self.ports.directory.own(),
+        };
+        self.ports.directory.set_owner(self.shard, hint);
         // The sender lives as long as the actor.
         let ending = has_ended.wait_for(Option::is_some).await;
         let ending = ending.ok().and_then(|ending| *ending);
         tasks.shutdown().await;
         *self.lock() = None;
+        self.ports.directory.shard_left();
         if ending == Some(Ending::Yielded) {
             self.ask_to_follow(self.ports.clock.now()).await;
         }
@@ -337,7 +391,7 @@
     async fn read_recorded(&self, ledger: &mut Ledger) -> Option<(Recorded, News<WorkerChange>)> {
         let records = &self.ports.records;
         let reading = async {
-            let recorded = retry(|| reader::read_all(records)).await;
+            let recorded = retry(|| reader::read_all(records, self.shard)).await;
             let listed = retry(|| self.ports.feeds.workers(None, Duration::ZERO)).await;
             (recorded, listed)
         };
@@ -348,7 +402,7 @@
                 () = tokio::time::sleep(HEARTBEAT) => {}
             }
             let nothing = Batch::default();
-            let beat = ledger.record(records, &nothing, &[], false, &Unwatched);
+            let beat = ledger.record(records, &nothing, false, &Unwatched);
             if beat
                 .await
                 .is_err_and(|error| error == RecordError::Overtaken)
@@ -376,26 +430,37 @@
         self.ask_to_follow(now).await;
     }
 
-    /// Asks the largest VM to follow; among those alike the one that started last, since planned
+    /// Asks the VM with the most room to follow; among those alike the one that started last, since planned
     /// restarts come to it last.
     async fn ask_to_follow(&self, now: Time) {
-        let epoch = self.ports.directory.owner().map_or(0, |owner| owner.epoch);
-        let mut members = self.ports.directory.members(now);
-        members.retain(|member| member.vm != self.me.vm);
-        members.sort_by_key(|member| std::cmp::Reverse((member.cpu_milli, member.started_unix_ms)));
+        let directory = &self.ports.directory;
+        let epoch = directory.owner(self.shard).map_or(0, |owner| owner.epoch);
+        let mut members = directory.members(now);
+        members.retain(|member| member.address != directory.own());
+        members.sort_by_key(|member| {
+            std::cmp::Reverse((member.share(member.owned + 1), member.started_unix_ms))
+        });
         for member in members {
-            let request = Request::Workflow(Ask::TakeOver { epoch });
+            let request = Request::Workflow(Ask::TakeOver {
+                shard: self.shard,
+                epoch,
+            });
             let reply = self
                 .ports
                 .peers
                 .call(member.address, &request, PING_TIMEOUT);
             if matches!(reply.await, Ok(Reply::Workflow(Told::Done))) {
-                tracing::info!(vm = %member.vm, "another VM is asked to follow");
+                tracing::info!(shard = self.shard.0, vm = %member.vm, "another VM is asked to follow");
                 return;
             }
         }
     }
 
+    /// Whether the worker belongs to the shard.
+    fn has(&self, worker: &WorkerName) -> bool {
+        self.map.of_worker(worker) == self.shard
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<ActorRef<Owner>>> {
         self.owner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -417,7 +482,14 @@
     }
 }
 
-async fn feed_workers(ports: OwnerPorts, owner: ActorRef<Owner>, version: u64) {
+/// Tells the owner of changes to the workers of its shard.
+async fn feed_workers(
+    ports: OwnerPorts,
+    shard: Shard,
+    map: ShardMap,
+    owner: ActorRef<Owner>,
+    version: u64,
+) {
     let mut version = Some(version);
     let mut whole_at = ports.clock.now();
     loop {
@@ -426,7 +498,9 @@
             version = None;
         }
         match ports.feeds.workers(version, WORKERS_WAIT).await {
-            Ok(news) => {
+            Ok(mut news) => {
+                news.items
+                    .retain(|change| map.of_worker(change.worker()) == shard);
                 version = Some(news.version);
                 if news.whole {
                     whole_at = ports.clock.now();
@@ -444,20 +518,26 @@
     }
 }
 
-/// Tells the owner of handovers, first of those that its VM has `read` already.
+/// Tells the owner of handovers, first of those that its VM has `read` already, and removes those that
+/// the owner has recorded.
 async fn feed_handovers(
     ports: OwnerPorts,
+    shard: Shard,
     owner: ActorRef<Owner>,
     read: Vec<(WorkflowId, Handover)>,
 ) {
     let mut handovers = read;
     loop {
-        let found = !handovers.is_empty();
-        if found && owner.tell(Event::HandedOver(handovers)).await.is_err() {
-            return;
+        if !handovers.is_empty() {
+            let (tx, rx) = oneshot::channel();
+            let told = owner.tell(Event::HandedOver(handovers, tx)).await;
+            let (Ok(()), Ok(settled)) = (told, rx.await) else {
+                return;
+            };
+            remove_settled(&ports, settled).await;
         }
         tokio::time::sleep(HANDOVERS_INTERVAL).await;
-        handovers = match reader::read_handovers(&ports.records).await {
+        handovers = match reader::read_handovers(&ports.records, shard).await {
             Ok(handovers) => handovers,
             Err(error) => {
                 tracing::warn!(%error, "handovers cannot be read");
@@ -467,6 +547,20 @@
     }
 }
 
+/// Removes handovers whose effect is recorded; those that stay are found again.
+async fn remove_settled(ports: &OwnerPorts, settled: Vec<RecordKey>) {
+    for removals in settled.chunks(MAX_ENTRIES) {
+        let call = StoreCall::Commit(Transaction {
+            removals: removals.to_vec(),
+            ..Transaction::default()
+        });
+        if let Err(error) = ports.records.call(&call, CALL_TIMEOUT).await {
+            tracing::warn!(%error, "handovers that are recorded cannot be removed now");
+            return;
+        }
+    }
+}
+
 async fn feed_queues(mut queues: watch::Receiver<Vec<QueuePolicy>>, owner: ActorRef<Owner>) {
     loop {
         let current = queues.borrow_and_update().clone();
--- a/src/port/feeds.rs
+++ b/src/port/feeds.rs
@@ -18,6 +18,16 @@
     Gone(WorkerName),
 }
 
+impl WorkerChange {
+    /// The worker that changes.
+    pub fn worker(&self) -> &WorkerName {
+        match self {
+            Self::Listed(listing) => &listing.name,
+            Self::Gone(name) => name,
+        }
+    }
+}
+
 /// News of a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News<T> {
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -153,6 +153,8 @@
     pub(super) due: Time,
     /// Whether its record is in the store.
     pub(super) recorded: bool,
+    /// Whether another VM has stored it for the owner, so that it must not be refused.
+    pub(super) handed_in: bool,
     pub(super) started: bool,
     pub(super) cancelled: bool,
     pub(super) failed: bool,
@@ -171,6 +173,7 @@
             due: now + policy.objective(spec.chain_ms()),
             spec: Arc::new(spec),
             recorded: false,
+            handed_in: false,
             started: false,
             cancelled: false,
             failed: false,
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -62,9 +62,11 @@
 }
 
 impl Journal {
-    pub(super) fn add(&mut self, id: WorkflowId, token: Token) {
+    pub(super) fn add(&mut self, id: WorkflowId, token: Option<Token>) {
         self.added.push_back(id);
-        self.wait_for_record(id, token);
+        if let Some(token) = token {
+            self.wait_for_record(id, token);
+        }
     }
 
     pub(super) fn wait_for_record(&mut self, id: WorkflowId, token: Token) {
--- a/src/workflow/engine/intake.rs
+++ b/src/workflow/engine/intake.rs
@@ -52,12 +52,35 @@
             return Submission::Waits;
         }
         self.add(id, spec, &Progress::default(), now);
-        self.journal.add(id, token);
+        self.journal.add(id, Some(token));
         // Permits are asked for while the record is being written.
         self.queue_steps(id);
         Submission::Waits
     }
 
+    /// Takes a workflow that another VM has accepted and stored; returns whether it is recorded, until
+    /// which it is not refused.
+    pub fn hand_in(&mut self, id: WorkflowId, spec: WorkflowSpec, now: Time) -> Submission {
+        if self.ended.contains_key(&id) {
+            return Submission::Accepted;
+        }
+        if let Some(active) = self.active.get_mut(&id) {
+            active.handed_in = true;
+            if active.recorded {
+                return Submission::Accepted;
+            }
+            return Submission::Waits;
+        }
+        tracing::info!(request = %id, "a workflow was handed over through the store");
+        self.add(id, spec, &Progress::default(), now);
+        if let Some(active) = self.active.get_mut(&id) {
+            active.handed_in = true;
+        }
+        self.journal.add(id, None);
+        self.queue_steps(id);
+        Submission::Waits
+    }
+
     /// Cancels a workflow; nothing of it starts from now on. `token` is answered once that is
     /// recorded.
     pub fn cancel(&mut self, id: WorkflowId, token: Option<Token>, now: Time) -> Cancelling {
@@ -85,7 +108,7 @@
         }
     }
 
-    /// Refuses a workflow, unless another VM has recorded it meanwhile.
+    /// Refuses a workflow, unless another VM has accepted it meanwhile.
     pub(super) fn refuse(&mut self, id: WorkflowId, tokens: Vec<Token>) {
         let recorded = self.active.get(&id).is_some_and(|active| active.recorded);
         if recorded || self.ended.contains_key(&id) {
@@ -93,6 +116,12 @@
                 .extend(tokens.into_iter().map(Effect::Accepted));
             return;
         }
+        if self.active.get(&id).is_some_and(|active| active.handed_in) {
+            self.journal.add(id, None);
+            self.effects
+                .extend(tokens.into_iter().map(Effect::Accepted));
+            return;
+        }
         self.unqueue(id);
         self.active.remove(&id);
         self.effects.extend(tokens.into_iter().map(Effect::Refused));
