Ask once who may run a gang, and name fewer workers

Ruled out: the lost VMs alone (two lanes of seven; logs show four lanes with one question each half second). Change: a gang's first question names busy workers too, a later one only granted ones that have room for it; other questions name about three times the room needed. A submission that the owner's partition refuses is tried in the inbox.

--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -167,8 +167,9 @@
         };
         let answer = match self.ask_owner(shard, ask, deadline).await {
             Ok(Told::Accepted) => Answer::Accepted,
-            Ok(Told::Refused) => Answer::NotRun,
-            Ok(Told::NotOwner(_)) | Err(Unreached::NotSent) => {
+            // The store may take what is handed over though it does not take the owner's records, as
+            // they lie in different partitions.
+            Ok(Told::Refused | Told::NotOwner(_)) | Err(Unreached::NotSent) => {
                 self.hand_over(shard, id, spec, false, deadline).await
             }
             // The owner may have it, so a failure to hand it over does not mean that it never runs.
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -49,8 +49,6 @@
     pub(super) asking: bool,
     /// No question is asked before this time.
     pub(super) not_before: Time,
-    /// When the last question was asked.
-    pub(super) asked_at: Time,
 }
 
 /// A step of one occurrence.
--- a/src/workflow/engine/asks.rs
+++ b/src/workflow/engine/asks.rs
@@ -18,23 +18,29 @@
 /// How long after a question without an answer, or without a permit, the next is asked.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
-/// How long after a question about a gang the next is asked while its usual share of grants would not
-/// hold the gang: the time for which permits hold.
-const ASK_UNLIKELY: Duration = Duration::from_millis(2_000);
-
 /// The share of workers taken to be granted before a queue's first answer.
 const GRANTED_SHARE: f64 = 0.5;
 
 /// The weight of an answer in the average share of granted workers.
 const SHARE_WEIGHT: f64 = 0.2;
 
-/// How many tasks of a step the workers that are asked about may take.
-#[derive(Clone, Copy, Debug, Default)]
-struct Room {
-    /// If all are granted.
-    most: u32,
-    /// If as many are granted as usual.
-    expected: f64,
+/// How many times the room that a step needs is asked about: other steps take some of it before the
+/// answer comes.
+const ROOM_ASKED: f64 = 3.0;
+
+/// The fewest workers that a question names, where there are so many.
+const MIN_WORKERS_ASKED: usize = 4;
+
+/// A worker that a question may name.
+#[derive(Clone, Copy, Debug)]
+struct Askable<'a> {
+    name: &'a WorkerName,
+    /// What is known of whether it may run the step.
+    verdict: Option<bool>,
+    /// How many tasks of the step it has room for now.
+    room: u32,
+    /// How many it would hold if it were empty.
+    whole: u32,
 }
 
 impl Engine {
@@ -57,21 +63,20 @@
         }
         let share = self.granted_share.get(&active.policy.name);
         let share = share.copied().unwrap_or(GRANTED_SHARE);
-        let (workers, room) = self.worth_asking(step, spec, &run.permits, share, now);
-        let least = if spec.gang { run.left } else { 1 };
-        if workers.is_empty() || room.most < least {
-            return;
-        }
-        // Fewer grants than the gang needs are likely, but not certain.
-        let unlikely = room.expected < f64::from(least);
-        if unlikely && now < run.permits.asked_at + ASK_UNLIKELY {
+        let askable = self.askable(step, spec, &run.permits, now);
+        let workers = if spec.gang {
+            worth_asking_for_gang(askable, run.left)
+        } else {
+            let waiting = run.waiting().count();
+            worth_asking(askable, waiting as f64, share)
+        };
+        if workers.is_empty() {
             return;
         }
         let takes_ms = as_millis(policy.question(workers.len()));
         let priority = active.policy.priority;
         if let Some(permits) = self.permits_mut(step) {
             permits.asking = true;
-            permits.asked_at = now;
         }
         self.asking += 1;
         self.effects.push(Effect::Ask {
@@ -82,42 +87,39 @@
         });
     }
 
-    /// The workers to ask about, and how many tasks the granted ones may be expected to take.
-    fn worth_asking(
-        &self,
+    /// The workers that may be permitted to run the step, as far as known.
+    fn askable<'a>(
+        &'a self,
         step: StepId,
         spec: &StepSpec,
         permits: &StepPermits,
-        share: f64,
         now: Time,
-    ) -> (Vec<WorkerName>, Room) {
-        let mut room = Room::default();
+    ) -> Vec<Askable<'a>> {
         let active = self.active.get(&step.workflow);
         let priority = active.map_or(u8::MAX, |active| active.policy.priority);
-        let mut named: Vec<(u32, &WorkerName)> = Vec::new();
+        let mut askable = Vec::new();
         for (_, worker) in self.fleet.iter() {
             let name = &worker.listing.name;
-            let chance = match permits.verdicts.get(name) {
-                Some(false) => continue,
-                Some(true) => 1.0,
-                None => share,
-            };
-            if !worker.is_usable(now) || !self.suits(worker, step, spec) {
+            let verdict = permits.verdicts.get(name).copied();
+            let possible = worker.listed && !worker.listing.draining && verdict != Some(false);
+            if !possible || !self.suits(worker, step, spec) {
                 continue;
             }
-            let fits = self.fits(worker, spec, priority, spec.tasks);
-            if fits > 0 {
-                room.most += fits;
-                room.expected += f64::from(fits) * chance;
-                named.push((fits, name));
-            }
+            let most = spec.max_per_worker.unwrap_or(u32::MAX).min(spec.tasks);
+            let room = if worker.is_usable(now) {
+                self.fits(worker, spec, priority, most)
+            } else {
+                0
+            };
+            askable.push(Askable {
+                name,
+                verdict,
+                room,
+                whole: worker.holds(&spec.reserved(), most),
+            });
         }
-        named.sort_by(|a, b| b.cmp(a));
-        named.truncate(MAX_WORKERS_ASKED);
-        (
-            named.into_iter().map(|(_, name)| name.clone()).collect(),
-            room,
-        )
+        askable.sort_by_key(|worker| std::cmp::Reverse((worker.room, worker.whole)));
+        askable
     }
 
     pub(super) fn permits_mut(&mut self, step: StepId) -> Option<&mut StepPermits> {
@@ -190,3 +192,43 @@
         active.is_some_and(|active| active.policy.permits.is_some())
     }
 }
+
+/// The workers to ask about for `waiting` tasks that run by themselves, if a `share` of those that are
+/// not known is granted: the emptiest, as many as are likely to have room enough.
+fn worth_asking(askable: Vec<Askable>, waiting: f64, share: f64) -> Vec<WorkerName> {
+    let mut expected = 0.0;
+    let mut named = Vec::new();
+    for worker in askable.iter().filter(|worker| worker.room > 0) {
+        let enough = expected >= waiting * ROOM_ASKED && named.len() >= MIN_WORKERS_ASKED;
+        if enough || named.len() >= MAX_WORKERS_ASKED {
+            break;
+        }
+        let chance = if worker.verdict.is_some() { 1.0 } else { share };
+        expected += f64::from(worker.room) * chance;
+        named.push(worker.name.clone());
+    }
+    named
+}
+
+/// The workers to ask about for a gang of `tasks`. A question about a gang takes long, so it is asked
+/// first to learn which workers may run it, busy ones too, and then only when those have room.
+fn worth_asking_for_gang(askable: Vec<Askable>, tasks: u32) -> Vec<WorkerName> {
+    /// A gang that is permitted to workers with so many times the room that it needs waits for them.
+    const CHOICE: u32 = 3;
+    let granted = askable.iter().filter(|worker| worker.verdict.is_some());
+    let room: u32 = granted.clone().map(|worker| worker.room).sum();
+    if room >= tasks {
+        let with_room = granted.filter(|worker| worker.room > 0).copied();
+        return worth_asking(with_room.collect(), f64::from(tasks), 1.0);
+    }
+    let whole: u32 = granted.map(|worker| worker.whole).sum();
+    let unknown = askable.iter().any(|worker| worker.verdict.is_none());
+    if whole >= tasks.saturating_mul(CHOICE) || !unknown {
+        return Vec::new();
+    }
+    let named = askable
+        .iter()
+        .filter(|worker| worker.whole > 0 && (worker.verdict.is_none() || worker.room > 0));
+    let named = named.map(|worker| worker.name.clone());
+    named.take(MAX_WORKERS_ASKED).collect()
+}
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -65,7 +65,8 @@
             return;
         };
         let recorded = active.recorded;
-        if !spec.reserved().fits_in(most) {
+        // A gang may ask which workers may run it though none has room.
+        if !spec.gang && !spec.reserved().fits_in(most) {
             return;
         }
         let placed = recorded && self.place_tasks(id, &spec, now);
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -166,11 +166,12 @@
             cpu_milli: kept,
             ..Resources::default()
         });
-        let share = |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
-        let cpu = share(room.cpu_milli, need.cpu_milli);
-        let memory = share(room.memory_mib, need.memory_mib);
-        let accelerators = share(room.accelerators, need.accelerators);
-        cpu.min(memory).min(accelerators).min(most)
+        times(need, &room).min(most)
+    }
+
+    /// How many tasks of this size it would hold if it were empty, up to `most`.
+    pub(super) fn holds(&self, need: &Resources, most: u32) -> u32 {
+        times(need, &self.listing.capacity).min(most)
     }
 
     pub(super) fn hold(&mut self, task: TaskId, held: HeldRun) {
@@ -303,3 +304,12 @@
 pub(super) fn as_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// How many times `need` fits in `room`.
+fn times(need: &Resources, room: &Resources) -> u32 {
+    let share = |room: u32, need: u32| room.checked_div(need).unwrap_or(u32::MAX);
+    let cpu = share(room.cpu_milli, need.cpu_milli);
+    let memory = share(room.memory_mib, need.memory_mib);
+    let accelerators = share(room.accelerators, need.accelerators);
+    cpu.min(memory).min(accelerators)
+}
