Give each shard three inboxes

Change: three inboxes in partitions of their own; a VM tries the next one where the store did nothing.

--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -8,8 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::directory::Directory;
-use super::layout::{self, Handover};
-use super::ledger::encode;
+use super::layout::Handover;
 use super::message::{Ask, Told};
 use super::outbox::Outbox;
 use super::owner::{Event, OwnerAsk};
@@ -21,7 +20,7 @@
 use crate::model::{QueueName, Time};
 use crate::node::clock::Clock;
 use crate::port::peer::{PeerError, SharedPeers};
-use crate::port::records::{RecordKey, SharedRecords, StoreError};
+use crate::port::records::{SharedRecords, StoreError};
 use crate::workflow::record::WorkflowState;
 use crate::workflow::{QueueConfig, WorkflowId, WorkflowSpec};
 
@@ -89,7 +88,7 @@
         metrics: Metrics,
     ) -> Self {
         Self {
-            outbox: Outbox::new(records.clone()),
+            outbox: Outbox::new(&directory.me().vm, records.clone()),
             records,
             peers,
             directory,
@@ -196,18 +195,9 @@
         open: bool,
         deadline: Time,
     ) -> Answer {
-        let handover = match encode(&Handover::Submitted(spec)) {
-            Ok(handover) => handover,
-            Err(error) => {
-                tracing::error!(request = %id, %error, "a workflow cannot be encoded");
-                return Answer::NotRun;
-            }
-        };
-        let key = layout::submitted_key(shard, id);
-        match self
-            .write_within(shard, key, handover, open, deadline)
-            .await
-        {
+        let handover = Handover::Submitted(spec);
+        let written = self.write_within(shard, id, handover, open, deadline);
+        match written.await {
             Ok(()) => Answer::Accepted,
             Err(StoreError::NotDone(reason) | StoreError::Rejected(reason)) => {
                 tracing::warn!(request = %id, reason, "a workflow is refused, as the store does not take it");
@@ -225,8 +215,8 @@
     async fn write_within(
         &self,
         shard: Shard,
-        key: RecordKey,
-        value: Vec<u8>,
+        id: WorkflowId,
+        handover: Handover,
         mut open: bool,
         deadline: Time,
     ) -> Result<(), StoreError> {
@@ -235,7 +225,7 @@
         let give_up = self.now() + STORE_REFUSES;
         loop {
             let limit = left(deadline, self.now()).min(CALL_TIMEOUT);
-            let written = self.outbox.write(shard, key.clone(), value.clone(), limit);
+            let written = self.outbox.write(shard, id, handover.clone(), limit);
             let Err(error) = written.await else {
                 return Ok(());
             };
@@ -310,15 +300,8 @@
                 return Answer::Unknown;
             }
         }
-        let value = match encode(&Handover::Cancelled) {
-            Ok(value) => value,
-            Err(error) => {
-                tracing::error!(request = %id, %error, "a cancellation cannot be encoded");
-                return Answer::Unknown;
-            }
-        };
-        let key = layout::cancelled_key(shard, id);
-        match self.write_within(shard, key, value, true, deadline).await {
+        let written = self.write_within(shard, id, Handover::Cancelled, true, deadline);
+        match written.await {
             Ok(()) => Answer::Cancelled,
             Err(error) => {
                 tracing::warn!(request = %id, %error, "a cancellation is not recorded");
--- a/src/coordinator/layout.rs
+++ b/src/coordinator/layout.rs
@@ -1,8 +1,8 @@
 //! Where the records of workflows lie in the store.
 //!
 //! All records of one owner lie in the partition of its shard, since a transaction changes one
-//! partition only. What other VMs hand over lies in a partition beside it, so that they never hold up
-//! the owner's transactions.
+//! partition only. What other VMs hand over lies in inboxes, partitions beside it, so that they never
+//! hold up the owner's transactions and may write while some partitions are down.
 
 use serde::{Deserialize, Serialize};
 
@@ -70,9 +70,18 @@
     format!("shard-{shard}")
 }
 
-/// The partition of what VMs hand over to a shard's owner.
-pub(super) fn inbox(shard: Shard) -> String {
-    format!("inbox-{shard}")
+/// How many inboxes a shard has: where a third of the partitions is down, all three are in one of
+/// thirty outages.
+pub(super) const INBOXES: u16 = 3;
+
+/// The partition of one of the shard's inboxes.
+pub(super) fn inbox(shard: Shard, number: u16) -> String {
+    format!("inbox-{shard}-{number}")
+}
+
+/// The first key and the end of the keys of what is handed over about a workflow.
+pub(super) fn handover_keys(id: WorkflowId) -> (String, String) {
+    (format!("{id}."), format!("{id}/"))
 }
 
 /// The record of how many shards there are.
@@ -100,14 +109,13 @@
     RecordKey::new(PROGRESS, &partition(shard), id.to_string())
 }
 
-/// The record of a submission that was handed over.
-pub(super) fn submitted_key(shard: Shard, id: WorkflowId) -> RecordKey {
-    RecordKey::new(HANDOVERS, &inbox(shard), format!("{id}.submitted"))
-}
-
-/// The record of a cancellation that was handed over.
-pub(super) fn cancelled_key(shard: Shard, id: WorkflowId) -> RecordKey {
-    RecordKey::new(HANDOVERS, &inbox(shard), format!("{id}.cancelled"))
+/// The record of a handover in an inbox.
+pub(super) fn handover_key(inbox: &str, id: WorkflowId, handover: &Handover) -> RecordKey {
+    let kind = match handover {
+        Handover::Submitted(_) => "submitted",
+        Handover::Cancelled => "cancelled",
+    };
+    RecordKey::new(HANDOVERS, inbox, format!("{id}.{kind}"))
 }
 
 /// The workflow that a record is about.
--- a/src/coordinator/outbox.rs
+++ b/src/coordinator/outbox.rs
@@ -8,12 +8,15 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
 
+use super::layout::{self, Handover};
+use super::ledger::encode;
 use super::reader::CALL_TIMEOUT;
 use super::shards::Shard;
-use crate::port::records::{
-    RecordKey, SharedRecords, StoreCall, StoreError, StoreReply, Transaction,
-};
+use crate::model::VmName;
+use crate::port::records::{SharedRecords, StoreCall, StoreError, StoreReply, Transaction};
+use crate::workflow::WorkflowId;
 
 /// The most rows of one transaction: half of what the store allows, since a workflow takes up to
 /// 20 KB of the megabyte that a transaction may hold.
@@ -25,8 +28,8 @@
 
 /// A row that waits, and who waits for it.
 struct Waiting {
-    key: RecordKey,
-    value: Vec<u8>,
+    id: WorkflowId,
+    handover: Handover,
     tx: oneshot::Sender<Result<(), StoreError>>,
 }
 
@@ -41,13 +44,18 @@
 /// Writes handovers.
 #[derive(Clone)]
 pub(super) struct Outbox {
+    /// The inbox that this VM tries first.
+    first: u16,
     records: SharedRecords,
     queues: Arc<Mutex<HashMap<Shard, Queue>>>,
 }
 
 impl Outbox {
-    pub(super) fn new(records: SharedRecords) -> Self {
+    /// The outbox of a VM; different VMs begin with different inboxes.
+    pub(super) fn new(vm: &VmName, records: SharedRecords) -> Self {
+        let first = xxh3_64(vm.as_str().as_bytes()) % u64::from(layout::INBOXES);
         Self {
+            first: u16::try_from(first).unwrap_or(0),
             records,
             queues: Arc::default(),
         }
@@ -62,15 +70,15 @@
     pub(super) async fn write(
         &self,
         shard: Shard,
-        key: RecordKey,
-        value: Vec<u8>,
+        id: WorkflowId,
+        handover: Handover,
         limit: Duration,
     ) -> Result<(), StoreError> {
         let (tx, rx) = oneshot::channel();
         let begins = {
             let mut queues = self.lock();
             let queue = queues.entry(shard).or_default();
-            queue.rows.push(Waiting { key, value, tx });
+            queue.rows.push(Waiting { id, handover, tx });
             !std::mem::replace(&mut queue.writing, true)
         };
         if begins {
@@ -100,18 +108,7 @@
             if rows.is_empty() {
                 return;
             }
-            let puts = rows.iter().map(|row| (row.key.clone(), row.value.clone()));
-            let call = StoreCall::Commit(Transaction {
-                puts: puts.collect(),
-                ..Transaction::default()
-            });
-            let result = match self.records.call(&call, CALL_TIMEOUT).await {
-                Ok(StoreReply::Committed { .. }) => Ok(()),
-                Ok(other) => Err(StoreError::Unknown(format!(
-                    "an unexpected reply: {other:?}"
-                ))),
-                Err(error) => Err(error),
-            };
+            let result = self.write_rows(shard, &rows).await;
             tracing::info!(
                 shard = shard.0,
                 rows = rows.len(),
@@ -125,6 +122,37 @@
         }
     }
 
+    /// Writes rows to the first inbox that takes them.
+    async fn write_rows(&self, shard: Shard, rows: &[Waiting]) -> Result<(), StoreError> {
+        let mut result = Err(StoreError::NotDone("there is no inbox".to_owned()));
+        for turn in 0..layout::INBOXES {
+            let inbox = layout::inbox(shard, (self.first + turn) % layout::INBOXES);
+            result = self.write_to(&inbox, rows).await;
+            if !matches!(result, Err(StoreError::NotDone(_))) {
+                return result;
+            }
+        }
+        result
+    }
+
+    async fn write_to(&self, inbox: &str, rows: &[Waiting]) -> Result<(), StoreError> {
+        let put = |row: &Waiting| {
+            let key = layout::handover_key(inbox, row.id, &row.handover);
+            Ok((key, encode(&row.handover)?))
+        };
+        let puts: Result<Vec<_>, StoreError> = rows.iter().map(put).collect();
+        let call = StoreCall::Commit(Transaction {
+            puts: puts?,
+            ..Transaction::default()
+        });
+        match self.records.call(&call, CALL_TIMEOUT).await? {
+            StoreReply::Committed { .. } => Ok(()),
+            other => Err(StoreError::Unknown(format!(
+                "an unexpected reply: {other:?}"
+            ))),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Shard, Queue>> {
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -13,9 +13,10 @@
 use super::desk::{Desk, Question};
 use super::directory::Directory;
 use super::health::Health;
-use super::layout::{self, Handover};
+use super::layout::Handover;
 use super::ledger::{Ledger, MAX_ENTRIES, RecordError, Recording};
 use super::message::{Member, Told};
+use super::reader::Handed;
 use super::shards::{Shard, ShardMap};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
 use crate::model::{QueueName, Time, WorkerName};
@@ -103,7 +104,7 @@
     Workers(News<WorkerChange>),
     /// VMs that did not reach the owner wrote these to the store; workflows come before
     /// cancellations. The answer names those whose effect is recorded.
-    HandedOver(Vec<(WorkflowId, Handover)>, oneshot::Sender<Vec<RecordKey>>),
+    HandedOver(Vec<Handed>, oneshot::Sender<Vec<RecordKey>>),
     /// A configuration came into force.
     Queues(Vec<QueuePolicy>),
     /// Time passes.
@@ -354,20 +355,17 @@
     }
 
     /// Takes handovers up and returns those whose effect is recorded.
-    fn handed_over(&mut self, handovers: Vec<(WorkflowId, Handover)>, now: Time) -> Vec<RecordKey> {
+    fn handed_over(&mut self, handovers: Vec<Handed>, now: Time) -> Vec<RecordKey> {
         let mut settled = Vec::new();
-        for (id, handover) in handovers {
-            match handover {
+        for handed in handovers {
+            let is_recorded = match handed.handover {
                 Handover::Submitted(spec) => {
-                    if self.engine.hand_in(id, spec, now) == Submission::Accepted {
-                        settled.push(layout::submitted_key(self.shard, id));
-                    }
-                }
-                Handover::Cancelled => {
-                    if self.cancellation_handed_over(id, now) {
-                        settled.push(layout::cancelled_key(self.shard, id));
-                    }
+                    self.engine.hand_in(handed.id, spec, now) == Submission::Accepted
                 }
+                Handover::Cancelled => self.cancellation_handed_over(handed.id, now),
+            };
+            if is_recorded {
+                settled.push(handed.key);
             }
         }
         settled
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use serde::de::DeserializeOwned;
 
 use super::layout::{self, Handover, OwnerRecord};
@@ -23,7 +24,15 @@
 pub(super) struct Recorded {
     pub(super) workflows: Vec<(WorkflowId, WorkflowRecord, Progress)>,
     pub(super) workers: Vec<WorkerListing>,
-    pub(super) handovers: Vec<(WorkflowId, Handover)>,
+    pub(super) handovers: Vec<Handed>,
+}
+
+/// A handover, and where it lies.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Handed {
+    pub(super) id: WorkflowId,
+    pub(super) handover: Handover,
+    pub(super) key: RecordKey,
 }
 
 /// Reads one record; `None` where it is absent.
@@ -71,16 +80,20 @@
         Some(None) => return Err(StoreError::Rejected("the record cannot be read".to_owned())),
         None => false,
     };
-    if !active {
-        let handed_over = read_one(records, &layout::submitted_key(shard, id)).await?;
-        if handed_over.is_none() {
-            return Ok(None);
-        }
+    let handovers = read_handovers_of(records, shard, id).await;
+    let handed = |wanted: fn(&Handover) -> bool| {
+        let found = handovers.iter().flatten();
+        found.flatten().any(|handover| wanted(handover))
+    };
+    if !active && !handed(|handover| matches!(handover, Handover::Submitted(_))) {
+        // An inbox that cannot be read may hold the workflow.
+        let unread = handovers.into_iter().find_map(Result::err);
+        return unread.map_or(Ok(None), Err);
     }
     let progress = read_one(records, &layout::progress_key(shard, id)).await?;
     let progress = progress.and_then(|row| decode::<Progress>(&row));
-    let cancelled = read_one(records, &layout::cancelled_key(shard, id)).await?;
-    let cancelled = cancelled.is_some() || progress.as_ref().is_some_and(|known| known.cancelled);
+    let cancelled = handed(|handover| *handover == Handover::Cancelled)
+        || progress.as_ref().is_some_and(|known| known.cancelled);
     Ok(Some(if cancelled {
         WorkflowState::Cancelled
     } else if progress.is_some() {
@@ -95,7 +108,7 @@
     records: &SharedRecords,
     shard: Shard,
 ) -> Result<Recorded, StoreError> {
-    let handovers = read_handovers(records, shard).await?;
+    let handovers = read_handovers(records, shard).await;
     let partition = layout::partition(shard);
     let workflows = scan(records, layout::WORKFLOWS, &partition).await?;
     let progress = scan(records, layout::PROGRESS, &partition).await?;
@@ -104,9 +117,9 @@
         .iter()
         .filter_map(|row| Some((id_of(row)?, decode::<Progress>(row)?)))
         .collect();
-    for (id, handover) in &handovers {
-        if *handover == Handover::Cancelled {
-            known.entry(*id).or_default().cancelled = true;
+    for handed in &handovers {
+        if handed.handover == Handover::Cancelled {
+            known.entry(handed.id).or_default().cancelled = true;
         }
     }
     let workflows = workflows.iter().filter_map(|row| {
@@ -121,19 +134,55 @@
     })
 }
 
-/// Reads the handovers that no owner has taken yet: workflows first, since a cancellation may be of
-/// one of them.
-pub(super) async fn read_handovers(
+/// Reads the handovers that the owner has not recorded yet: workflows first, since a cancellation may
+/// be of one of them. An inbox that cannot be read is left for the next time.
+pub(super) async fn read_handovers(records: &SharedRecords, shard: Shard) -> Vec<Handed> {
+    let inboxes = (0..layout::INBOXES).map(|number| async move {
+        let partition = layout::inbox(shard, number);
+        scan(records, layout::HANDOVERS, &partition).await
+    });
+    let mut handovers = Vec::new();
+    for rows in join_all(inboxes).await {
+        match rows {
+            Ok(rows) => handovers.extend(rows.into_iter().filter_map(|row| {
+                Some(Handed {
+                    id: id_of(&row)?,
+                    handover: decode(&row)?,
+                    key: row.key,
+                })
+            })),
+            Err(error) => tracing::warn!(shard = shard.0, %error, "an inbox cannot be read"),
+        }
+    }
+    handovers.sort_by_key(|handed| handed.handover == Handover::Cancelled);
+    handovers
+}
+
+/// Reads what each inbox of the shard holds about one workflow.
+async fn read_handovers_of(
     records: &SharedRecords,
     shard: Shard,
-) -> Result<Vec<(WorkflowId, Handover)>, StoreError> {
-    let rows = scan(records, layout::HANDOVERS, &layout::inbox(shard)).await?;
-    let mut handovers: Vec<(WorkflowId, Handover)> = rows
-        .iter()
-        .filter_map(|row| Some((id_of(row)?, decode(row)?)))
-        .collect();
-    handovers.sort_by_key(|(_, handover)| *handover == Handover::Cancelled);
-    Ok(handovers)
+    id: WorkflowId,
+) -> Vec<Result<Vec<Handover>, StoreError>> {
+    let (from, to) = layout::handover_keys(id);
+    let inboxes = (0..layout::INBOXES).map(|number| {
+        let call = StoreCall::Scan {
+            table: layout::HANDOVERS.to_owned(),
+            partition: layout::inbox(shard, number),
+            from: from.clone(),
+            to: Some(to.clone()),
+            limit: PAGE,
+        };
+        async move {
+            match records.call(&call, CALL_TIMEOUT).await? {
+                StoreReply::Records { records, .. } => {
+                    Ok(records.iter().filter_map(decode).collect())
+                }
+                other => Err(unexpected(&other)),
+            }
+        }
+    });
+    join_all(inboxes).await
 }
 
 async fn scan(
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -8,18 +8,18 @@
 use tokio::task::JoinSet;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::layout::{Handover, OwnerRecord};
+use super::layout::OwnerRecord;
 use super::ledger::{Ledger, MAX_ENTRIES, RecordError, StoreWatch};
 use super::message::{Ask, OwnerHint, Told};
 use super::owner::{Ending, Event, HEARTBEAT, Owner, OwnerPorts};
-use super::reader::{self, CALL_TIMEOUT, Recorded};
+use super::reader::{self, CALL_TIMEOUT, Handed, Recorded};
 use super::shards::{Shard, ShardMap};
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
 use crate::model::{Time, VmName, WorkerName};
 use crate::port::feeds::{News, WorkerChange};
 use crate::port::records::{RecordKey, StoreCall, StoreError, Transaction};
-use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy, WorkflowId};
+use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy};
 
 /// Between two pings of the owner.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
@@ -524,7 +524,7 @@
     ports: OwnerPorts,
     shard: Shard,
     owner: ActorRef<Owner>,
-    read: Vec<(WorkflowId, Handover)>,
+    read: Vec<Handed>,
 ) {
     let mut handovers = read;
     loop {
@@ -537,26 +537,22 @@
             remove_settled(&ports, settled).await;
         }
         tokio::time::sleep(HANDOVERS_INTERVAL).await;
-        handovers = match reader::read_handovers(&ports.records, shard).await {
-            Ok(handovers) => handovers,
-            Err(error) => {
-                tracing::warn!(%error, "handovers cannot be read");
-                Vec::new()
-            }
-        };
+        handovers = reader::read_handovers(&ports.records, shard).await;
     }
 }
 
 /// Removes handovers whose effect is recorded; those that stay are found again.
-async fn remove_settled(ports: &OwnerPorts, settled: Vec<RecordKey>) {
-    for removals in settled.chunks(MAX_ENTRIES) {
-        let call = StoreCall::Commit(Transaction {
-            removals: removals.to_vec(),
-            ..Transaction::default()
-        });
-        if let Err(error) = ports.records.call(&call, CALL_TIMEOUT).await {
-            tracing::warn!(%error, "handovers that are recorded cannot be removed now");
-            return;
+async fn remove_settled(ports: &OwnerPorts, mut settled: Vec<RecordKey>) {
+    settled.sort_by(|a, b| a.partition.cmp(&b.partition));
+    for of_inbox in settled.chunk_by(|a, b| a.partition == b.partition) {
+        for removals in of_inbox.chunks(MAX_ENTRIES) {
+            let call = StoreCall::Commit(Transaction {
+                removals: removals.to_vec(),
+                ..Transaction::default()
+            });
+            if let Err(error) = ports.records.call(&call, CALL_TIMEOUT).await {
+                tracing::warn!(%error, "handovers that are recorded cannot be removed now");
+            }
         }
     }
 }
