--- a/src/workflow/engine/looks.rs
+++ b/src/workflow/engine/looks.rs
@@ -74,7 +74,7 @@
             worker.lease_until(lease_ms, now)
         };
         let order = LookOrder {
-            acknowledged: worker.recorded_end,
+            acknowledged: worker.may_forget(),
             lease_until_ms,
             wait_ms: if may_wait { WAIT_MS } else { 0 },
         };
@@ -154,6 +154,8 @@
             return;
         };
         worker.read_clock(report.clock_ms, now);
+        // The report tells its process, so it settles a doubt from before its look was sent.
+        worker.doubted_at = worker.doubted_at.filter(|at| *at > sent);
         let was_silent = worker.is_failing();
         worker.answered();
         worker.last_look = sent;
--- a/src/workflow/engine/orders.rs
+++ b/src/workflow/engine/orders.rs
@@ -198,7 +198,7 @@
             return;
         };
         if let Ok(clock_ms) = answer {
-            worker.read_clock(clock_ms, now);
+            worker.read_order_clock(clock_ms, now);
             worker.answered();
         }
         let name = worker.listing.name.clone();
@@ -303,7 +303,7 @@
         };
         match answer {
             Ok(clock_ms) => {
-                worker.read_clock(clock_ms, now);
+                worker.read_order_clock(clock_ms, now);
                 worker.answered();
                 if let Some(held) = worker.runs.get_mut(&task)
                     && held.run == run
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -30,6 +30,10 @@
 /// Failures of tasks in a row after which a worker is taken to fail everything it starts.
 const FAILURES_SUSPECT: u32 = 3;
 
+/// An answer's clock is off by no more than this: the longest time that an answer is waited for, and the
+/// granularity of both clocks, in milliseconds.
+const CLOCK_TOLERANCE_MS: u64 = 1_000;
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ClockReading {
@@ -85,6 +89,8 @@
     pub(super) seen_end: u64,
     /// The highest number of an end up to which all are recorded in the store.
     pub(super) recorded_end: u64,
+    /// When an order was answered as if another process had answered it, whose ends are numbered anew.
+    pub(super) doubted_at: Option<Time>,
     pub(super) looking: bool,
     pub(super) next_look: Option<Time>,
     /// When the last look that was answered was sent.
@@ -111,6 +117,7 @@
             unknown_runs: 0,
             seen_end: 0,
             recorded_end: 0,
+            doubted_at: None,
             looking: false,
             next_look: Some(now),
             last_look: now,
@@ -187,6 +194,35 @@
         Some(held)
     }
 
+    /// Notes what the clock showed in the answer to an order, which does not tell which process gave
+    /// it: a clock that jumped means that the worker may have started again.
+    pub(super) fn read_order_clock(&mut self, worker_ms: u64, now: Time) {
+        let Some(reading) = self.clock else {
+            return;
+        };
+        let passed = as_millis(now.since(reading.at));
+        let earliest = self.clock_at(now).unwrap_or(0);
+        let is_behind = worker_ms + CLOCK_TOLERANCE_MS < earliest;
+        let is_ahead = worker_ms > reading.worker_ms + passed + CLOCK_TOLERANCE_MS;
+        if is_behind || is_ahead {
+            tracing::info!(worker = %self.listing.name, worker_ms, expected_ms = earliest,
+                "a worker's clock jumped; it may have started again");
+            self.doubted_at = Some(now);
+        } else {
+            self.read_clock(worker_ms, now);
+        }
+    }
+
+    /// Up to which end the worker may forget, if that is certain to be one of the present process: an
+    /// order that is under way may have reached another.
+    pub(super) fn may_forget(&self) -> u64 {
+        let open = |held: &HeldRun| matches!(held.state, RunState::Starting | RunState::Unclear(_));
+        if self.doubted_at.is_some() || self.runs.values().any(open) {
+            return 0;
+        }
+        self.recorded_end
+    }
+
     /// Notes what the worker's clock showed at `now`.
     pub(super) fn read_clock(&mut self, worker_ms: u64, now: Time) {
         let behind = self.clock_at(now).is_some_and(|known| known > worker_ms);
--- a/tests/process/cell.rs
+++ b/tests/process/cell.rs
@@ -21,8 +21,8 @@
 use tempfile::TempDir;
 
 use super::layout::Layout;
+use super::links::Links;
 use super::process::Process;
-use super::relay::Links;
 
 /// The shards of workers.
 pub const SHARDS: [&str; 2] = ["s-0", "s-1"];
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod e2e;
 mod fault;
 mod layout;
+mod links;
 mod load;
 mod process;
 mod race;
--- a/tests/workflow/lifecycle.rs
+++ b/tests/workflow/lifecycle.rs
@@ -201,3 +201,21 @@
     world.run_for(5_000);
     assert_eq!(world.state(1), Some(WorkflowState::Complete));
 }
+
+#[test]
+fn ends_on_a_new_process_of_a_worker_are_not_acknowledged_unread() {
+    let mut world = World::new(1, false);
+    world.task_ms = 60;
+    world.run_for(100);
+    for id in 1..=20 {
+        world.submit(id, vec![step(1, 500)]);
+        world.run_for(900);
+    }
+    let before = world.starts.len();
+    assert_eq!(before, 20);
+    world.restart_worker_unnoticed(0);
+    world.submit(21, vec![step(1, 500)]);
+    world.run_for(10_000);
+    assert_eq!(world.state(21), Some(WorkflowState::Complete));
+    assert_eq!(world.starts.len(), 21, "{:?}", &world.starts[before..]);
+}
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -39,6 +39,8 @@
 pub struct FakeWorker {
     pub listing: WorkerListing,
     clock_offset: u64,
+    /// When its process started; its clock counts from then.
+    began_ms: u64,
     fence: u64,
     lease_until: u64,
     runs: BTreeMap<TaskId, Run>,
@@ -161,13 +163,10 @@
         self.engine.submit(WorkflowId(id), spec, Token(id), now);
     }
 
-    /// Another VM records a workflow, and the owner finds it.
+    /// Another VM has accepted a workflow, and the owner finds it in an inbox.
     pub fn hand_over(&mut self, id: u64, steps: Vec<StepSpec>) {
-        let record = WorkflowRecord::Active(self.spec(steps));
-        self.rows.insert(WorkflowId(id), record.clone());
-        let now = self.now();
-        self.engine
-            .load(WorkflowId(id), record, &Progress::default(), now);
+        let (spec, now) = (self.spec(steps), self.now());
+        self.engine.hand_in(WorkflowId(id), spec, now);
     }
 
     pub fn state(&self, id: u64) -> Option<WorkflowState> {
@@ -203,11 +202,18 @@
         }
     }
 
-    /// A worker's process starts anew; what ran there is gone.
-    pub fn restart_worker(&mut self, index: usize) {
+    /// A worker's process starts anew, which the platform's list does not tell yet; what ran there is
+    /// gone.
+    pub fn restart_worker_unnoticed(&mut self, index: usize) {
         let mut worker = fake_worker(u32::try_from(index).unwrap());
         worker.listing.boot = self.now_ms;
+        worker.began_ms = self.now_ms;
         self.workers[index] = worker;
+    }
+
+    /// A worker's process starts anew; what ran there is gone.
+    pub fn restart_worker(&mut self, index: usize) {
+        self.restart_worker_unnoticed(index);
         let now = self.now();
         self.engine
             .set_worker(self.workers[index].listing.clone(), now);
@@ -475,6 +481,7 @@
             boot: 1,
         },
         clock_offset: 7_777 * u64::from(index + 1),
+        began_ms: 0,
         fence: 0,
         lease_until: 0,
         runs: BTreeMap::new(),
@@ -488,7 +495,7 @@
 
 impl FakeWorker {
     fn clock(&self, now_ms: u64) -> u64 {
-        now_ms + self.clock_offset
+        now_ms - self.began_ms + self.clock_offset
     }
 
     /// What runs there occupies.
