Let a worker's own lists tell what its new process runs

Ruled out: the fence and the leases (one owner, 40 ms between them). Change: after such news the worker is looked at, without a lease and without acknowledging ends, and its answer decides; a failed look that was sent before an answered one no longer counts. Owner's events and feeds are modules of their own.

--- a/src/coordinator/errands.rs
+++ b/src/coordinator/errands.rs
@@ -7,8 +7,9 @@
 use kameo::actor::ActorRef;
 
 use super::desk::Question;
+use super::event::Event;
 use super::message::{Ask, Told};
-use super::owner::{Event, Owner, OwnerPorts};
+use super::owner::{Owner, OwnerPorts};
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
 use crate::model::{Time, WorkerName};
--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -8,10 +8,10 @@
 use tokio::sync::oneshot;
 
 use super::directory::Directory;
+use super::event::{Event, OwnerAsk};
 use super::layout::Handover;
 use super::message::{Ask, Told};
 use super::outbox::Outbox;
-use super::owner::{Event, OwnerAsk};
 use super::reader::{self, CALL_TIMEOUT};
 use super::seat::Seat;
 use super::shards::{Seats, Shard, ShardMap};
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -9,7 +9,9 @@
 pub mod desk;
 pub mod directory;
 mod errands;
+mod event;
 pub mod exposition;
+mod feeder;
 pub mod gateway;
 mod handler;
 mod health;
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -12,24 +12,22 @@
 
 use super::desk::{Desk, Question};
 use super::directory::Directory;
+use super::event::{Ending, Event, OwnerAsk, Recorded};
 use super::health::Health;
 use super::layout::Handover;
-use super::ledger::{Ledger, MAX_ENTRIES, RecordError, Recording};
+use super::ledger::{Ledger, MAX_ENTRIES, RecordError};
 use super::message::{Member, Told};
 use super::reader::Handed;
 use super::shards::{Shard, ShardMap};
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
-use crate::model::{QueueName, Time, WorkerName};
+use crate::model::Time;
 use crate::node::clock::Clock;
-use crate::port::executor::{ExecutorError, Executors, LookReport, PermitError, Permits};
+use crate::port::executor::Executors;
 use crate::port::feeds::{News, SharedFeeds, WorkerChange};
 use crate::port::peer::SharedPeers;
 use crate::port::permits::SharedPermits;
 use crate::port::records::{RecordKey, SharedRecords};
-use crate::workflow::{
-    Batch, Cancelling, Effect, Engine, QueuePolicy, StepId, Submission, TaskId, Token, WorkerKey,
-    WorkflowId, WorkflowSpec,
-};
+use crate::workflow::{Cancelling, Effect, Engine, Submission, Token, WorkflowId};
 
 /// How often time passes for the engine when nothing else happens.
 const TICK: Duration = Duration::from_millis(10);
@@ -55,19 +53,6 @@
 /// An owner that no other VM tells that it lives for so long gives up: several pings.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Why an owner no longer owns the workflows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Ending {
-    /// Another process followed it.
-    Overtaken,
-    /// It was asked to give up.
-    Released,
-    /// It gave up, as it reaches no other VM.
-    CutOff,
-    /// It gave up, as a larger VM is there.
-    Yielded,
-}
-
 /// What an owner needs from its VM.
 #[derive(Clone)]
 pub(super) struct OwnerPorts {
@@ -81,54 +66,6 @@
     pub(super) clock: Clock,
 }
 
-/// What happens to the owner.
-pub(super) enum Event {
-    /// A question of a caller or of another VM.
-    Asked(OwnerAsk, oneshot::Sender<Told>),
-    /// A worker answered a look that was sent at this time.
-    Looked(WorkerKey, Time, Result<LookReport, ExecutorError>),
-    /// A worker answered a start.
-    Started(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
-    /// A worker answered a stop.
-    Stopped(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
-    /// The service of permits answered, or did not.
-    Permitted {
-        vm: SocketAddr,
-        step: StepId,
-        asked: Vec<WorkerName>,
-        answer: Result<Permits, PermitError>,
-    },
-    /// A transaction has ended.
-    Recorded(Box<Recorded>),
-    /// The list of workers changed.
-    Workers(News<WorkerChange>),
-    /// VMs that did not reach the owner wrote these to the store; workflows come before
-    /// cancellations. The answer names those whose effect is recorded.
-    HandedOver(Vec<Handed>, oneshot::Sender<Vec<RecordKey>>),
-    /// A configuration came into force.
-    Queues(Vec<QueuePolicy>),
-    /// Time passes.
-    Tick,
-    /// Another VM is to follow.
-    Release(oneshot::Sender<()>),
-}
-
-/// A transaction that has ended.
-pub(super) struct Recorded {
-    ledger: Ledger,
-    batch: Batch,
-    recording: Result<Recording, RecordError>,
-}
-
-/// What callers and other VMs ask the owner.
-#[derive(Debug)]
-pub(super) enum OwnerAsk {
-    Submit(WorkflowId, WorkflowSpec),
-    State(WorkflowId),
-    Cancel(WorkflowId),
-    Pending(QueueName),
-}
-
 /// The actor.
 #[derive(Actor)]
 pub(super) struct Owner {
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -83,7 +83,7 @@
     let handovers = read_handovers_of(records, shard, id).await;
     let handed = |wanted: fn(&Handover) -> bool| {
         let found = handovers.iter().flatten();
-        found.flatten().any(|handover| wanted(handover))
+        found.flatten().any(wanted)
     };
     if !active && !handed(|handover| matches!(handover, Handover::Submitted(_))) {
         // An inbox that cannot be read may hold the workflow.
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -8,17 +8,19 @@
 use tokio::task::JoinSet;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::event::{Ending, Event};
+use super::feeder;
 use super::layout::OwnerRecord;
-use super::ledger::{Ledger, MAX_ENTRIES, RecordError, StoreWatch};
+use super::ledger::{Ledger, RecordError, StoreWatch};
 use super::message::{Ask, OwnerHint, Told};
-use super::owner::{Ending, Event, HEARTBEAT, Owner, OwnerPorts};
-use super::reader::{self, CALL_TIMEOUT, Handed, Recorded};
+use super::owner::{HEARTBEAT, Owner, OwnerPorts};
+use super::reader::{self, Recorded};
 use super::shards::{Shard, ShardMap};
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
 use crate::model::{Time, VmName, WorkerName};
 use crate::port::feeds::{News, WorkerChange};
-use crate::port::records::{RecordKey, StoreCall, StoreError, Transaction};
+use crate::port::records::StoreError;
 use crate::workflow::{Batch, Engine, EngineConfig, QueueConfig, QueuePolicy};
 
 /// Between two pings of the owner.
@@ -45,22 +47,6 @@
 /// its record within two looks.
 const LET_OTHERS_FOLLOW: Duration = Duration::from_secs(2);
 
-/// How long the feed of workers waits for a change. A connection that has gone silent is noticed
-/// after this and the timeout of the call, within the 5 s in which an owner that was cut off has to
-/// know of workers that leave.
-const WORKERS_WAIT: Duration = Duration::from_millis(1_500);
-
-/// Between two looks for what VMs wrote that did not reach the owner; with the 300 ms of a slow
-/// call it stays within the 3 s in which a cancellation has to take effect.
-const HANDOVERS_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The list of workers is read as a whole so often, beside its feed: a worker that leaves has to be
-/// known within the 2 s after which no task may start there.
-const WHOLE_INTERVAL: Duration = Duration::from_millis(1_500);
-
-/// After a feed failed it is read again after so long.
-const FEED_RETRY: Duration = Duration::from_millis(200);
-
 /// What the seat knows of an owner that does not answer.
 #[derive(Clone, Debug)]
 struct Silent {
@@ -351,20 +337,20 @@
         let owner = Owner::spawn(owner);
         let mut tasks = JoinSet::new();
         tasks.spawn(Owner::run_ticks(owner.clone()));
-        tasks.spawn(feed_workers(
+        tasks.spawn(feeder::feed_workers(
             self.ports.clone(),
             self.shard,
             self.map,
             owner.clone(),
             listed.version,
         ));
-        tasks.spawn(feed_handovers(
+        tasks.spawn(feeder::feed_handovers(
             self.ports.clone(),
             self.shard,
             owner.clone(),
             recorded.handovers,
         ));
-        tasks.spawn(feed_queues(self.queues.clone(), owner.clone()));
+        tasks.spawn(feeder::feed_queues(self.queues.clone(), owner.clone()));
         *self.lock() = Some(owner);
         self.ports.directory.shard_taken();
         let hint = OwnerHint {
@@ -391,8 +377,8 @@
     async fn read_recorded(&self, ledger: &mut Ledger) -> Option<(Recorded, News<WorkerChange>)> {
         let records = &self.ports.records;
         let reading = async {
-            let recorded = retry(|| reader::read_all(records, self.shard)).await;
-            let listed = retry(|| self.ports.feeds.workers(None, Duration::ZERO)).await;
+            let recorded = feeder::retry(|| reader::read_all(records, self.shard)).await;
+            let listed = feeder::retry(|| self.ports.feeds.workers(None, Duration::ZERO)).await;
             (recorded, listed)
         };
         tokio::pin!(reading);
@@ -465,106 +451,3 @@
         self.owner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Repeats a read until it succeeds.
-async fn retry<T, F>(read: impl Fn() -> F) -> T
-where
-    F: Future<Output = Result<T, StoreError>>,
-{
-    loop {
-        match read().await {
-            Ok(found) => return found,
-            Err(error) => {
-                tracing::warn!(%error, "a read of a new owner is repeated");
-                tokio::time::sleep(FEED_RETRY).await;
-            }
-        }
-    }
-}
-
-/// Tells the owner of changes to the workers of its shard.
-async fn feed_workers(
-    ports: OwnerPorts,
-    shard: Shard,
-    map: ShardMap,
-    owner: ActorRef<Owner>,
-    version: u64,
-) {
-    let mut version = Some(version);
-    let mut whole_at = ports.clock.now();
-    loop {
-        // A feed whose history is cut may have passed over changes.
-        if ports.clock.now().since(whole_at) >= WHOLE_INTERVAL {
-            version = None;
-        }
-        match ports.feeds.workers(version, WORKERS_WAIT).await {
-            Ok(mut news) => {
-                news.items
-                    .retain(|change| map.of_worker(change.worker()) == shard);
-                version = Some(news.version);
-                if news.whole {
-                    whole_at = ports.clock.now();
-                }
-                let changed = news.whole || !news.items.is_empty();
-                if changed && owner.tell(Event::Workers(news)).await.is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
-                tracing::warn!(%error, version, "the list of workers cannot be read");
-                tokio::time::sleep(FEED_RETRY).await;
-            }
-        }
-    }
-}
-
-/// Tells the owner of handovers, first of those that its VM has `read` already, and removes those that
-/// the owner has recorded.
-async fn feed_handovers(
-    ports: OwnerPorts,
-    shard: Shard,
-    owner: ActorRef<Owner>,
-    read: Vec<Handed>,
-) {
-    let mut handovers = read;
-    loop {
-        if !handovers.is_empty() {
-            let (tx, rx) = oneshot::channel();
-            let told = owner.tell(Event::HandedOver(handovers, tx)).await;
-            let (Ok(()), Ok(settled)) = (told, rx.await) else {
-                return;
-            };
-            remove_settled(&ports, settled).await;
-        }
-        tokio::time::sleep(HANDOVERS_INTERVAL).await;
-        handovers = reader::read_handovers(&ports.records, shard).await;
-    }
-}
-
-/// Removes handovers whose effect is recorded; those that stay are found again.
-async fn remove_settled(ports: &OwnerPorts, mut settled: Vec<RecordKey>) {
-    settled.sort_by(|a, b| a.partition.cmp(&b.partition));
-    for of_inbox in settled.chunk_by(|a, b| a.partition == b.partition) {
-        for removals in of_inbox.chunks(MAX_ENTRIES) {
-            let call = StoreCall::Commit(Transaction {
-                removals: removals.to_vec(),
-                ..Transaction::default()
-            });
-            if let Err(error) = ports.records.call(&call, CALL_TIMEOUT).await {
-                tracing::warn!(%error, "handovers that are recorded cannot be removed now");
-            }
-        }
-    }
-}
-
-async fn feed_queues(mut queues: watch::Receiver<Vec<QueuePolicy>>, owner: ActorRef<Owner>) {
-    loop {
-        let current = queues.borrow_and_update().clone();
-        if owner.tell(Event::Queues(current)).await.is_err() {
-            return;
-        }
-        if queues.changed().await.is_err() {
-            return;
-        }
-    }
-}
--- a/src/workflow/engine/looks.rs
+++ b/src/workflow/engine/looks.rs
@@ -68,7 +68,8 @@
         worker.next_look = None;
         // While a worker is silent its leases are left to run out, so that it becomes certain that
         // its tasks have ended.
-        let lease_until_ms = if worker.is_failing() {
+        // The clock of a process that is not known yet is not known either.
+        let lease_until_ms = if worker.is_failing() || worker.doubted_at.is_some() {
             None
         } else {
             worker.lease_until(lease_ms, now)
@@ -122,6 +123,10 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
+        if worker.last_look > sent && answer.is_err() {
+            // A later look was answered.
+            return;
+        }
         worker.looking = false;
         match answer {
             Ok(report) => self.take_report(key, sent, &report, now),
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -31,8 +31,7 @@
             tracing::info!(worker = %listing.name, draining = listing.draining, "a worker's state changed");
         }
         let moved = listing.address != worker.listing.address;
-        let boot = listing.boot;
-        let reborn = boot > worker.listing.boot;
+        let reborn = listing.boot > worker.listing.boot;
         worker.listed = true;
         worker.listing = WorkerListing {
             boot: worker.listing.boot,
@@ -42,7 +41,11 @@
             self.journal.workers_changed();
         }
         if reborn {
-            self.worker_reborn(key, boot, now);
+            // Its own lists tell what it runs: orders sent before now may have reached the new process.
+            worker.introduced = false;
+            worker.doubted_at = Some(now);
+            worker.looking = false;
+            worker.next_look = Some(now);
         }
         self.place_due = true;
     }
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -296,6 +296,12 @@
         }
     }
 
+    /// Whether a worker has begun a run of the job.
+    pub fn has_started(&self, id: &str) -> bool {
+        let seen = self.lock();
+        seen.jobs.get(id).is_some_and(|job| job.started)
+    }
+
     /// Accepted jobs that callers have not seen end, by name.
     pub fn open(&self) -> Vec<String> {
         let seen = self.lock();
--- a/tests/workflow/lifecycle.rs
+++ b/tests/workflow/lifecycle.rs
@@ -219,3 +219,24 @@
     assert_eq!(world.state(21), Some(WorkflowState::Complete));
     assert_eq!(world.starts.len(), 21, "{:?}", &world.starts[before..]);
 }
+
+#[test]
+fn work_on_a_new_process_of_a_worker_is_not_started_again_elsewhere() {
+    let mut world = World::new(2, false);
+    world.task_ms = 1_000;
+    world.run_for(100);
+    world.submit(1, vec![step(1, 500)]);
+    world.run_for(200);
+    let at = world.workers.iter().position(|worker| worker.running() > 0);
+    let at = at.unwrap();
+    world.run_for(3_000);
+    world.restart_worker_unnoticed(at);
+    world.submit(2, vec![step(1, 500)]);
+    world.run_for(60);
+    assert_eq!(world.workers[at].running(), 1, "it runs on the new process");
+    world.list_workers();
+    world.run_for(10_000);
+    assert_eq!(world.state(2), Some(WorkflowState::Complete));
+    assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
