--- a/src/command/coordinate.rs
+++ b/src/command/coordinate.rs
@@ -36,11 +36,16 @@
     let path = path.ok_or_else(|| Error::Other("name the settings file".to_owned()))?;
     let settings = CoordinatorSettings::load(path);
     let settings = settings.map_err(|error| Error::Other(error.to_string()))?;
-    let _writer = log::init_json(&settings.log)?;
+    let logs = log::init_json(&settings.log)?;
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().build();
     let runtime = runtime.map_err(Error::io("start the runtime"))?;
-    runtime.block_on(coordinate(&settings))
+    runtime.block_on(async {
+        tokio::select! {
+            ended = coordinate(&settings) => ended,
+            () = logs.tell_dropped() => Ok(()),
+        }
+    })
 }
 
 async fn coordinate(settings: &CoordinatorSettings) -> Result<()> {
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -13,7 +13,7 @@
 use crate::port::records::RecordKey;
 use crate::workflow::{Batch, QueuePolicy, StepId, TaskId, WorkerKey, WorkflowId, WorkflowSpec};
 
-/// Why an owner no longer owns the workflows.
+/// Why an owner no longer owns the shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Ending {
     /// Another process followed it.
--- a/src/coordinator/layout.rs
+++ b/src/coordinator/layout.rs
@@ -14,7 +14,7 @@
 /// How many shards there are.
 const SHARDS: &str = "shards";
 
-/// Who owns the workflows.
+/// Who owns a shard.
 pub(super) const OWNERS: &str = "owners";
 
 /// One record for each workflow.
@@ -32,7 +32,7 @@
 /// The table of the list of workers that tasks may run on.
 pub(super) const WORKERS: &str = "workers";
 
-/// Who owns the workflows.
+/// Who owns a shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OwnerRecord {
     /// The VM.
--- a/src/coordinator/ledger.rs
+++ b/src/coordinator/ledger.rs
@@ -27,8 +27,8 @@
 /// Why a batch is not recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum RecordError {
-    /// The process no longer owns the workflows.
-    #[error("another process owns the workflows")]
+    /// The process no longer owns the shard.
+    #[error("another process owns the shard")]
     Overtaken,
     /// The store did nothing, and will not.
     #[error("the store did not take the transaction")]
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -89,7 +89,7 @@
 
 impl Owner {
     /// An actor for an engine that has taken up what is recorded; `ended` says when and why it no
-    /// longer owns the workflows.
+    /// longer owns the shard.
     pub(super) fn new(
         engine: Engine,
         ledger: Ledger,
@@ -272,7 +272,7 @@
         of_shard.map(|(_, vm)| vm).collect()
     }
 
-    /// Whether other VMs were heard of since this one owns the workflows, and no longer are.
+    /// Whether other VMs were heard of since this one owns the shard, and no longer are.
     fn is_cut_off(&self, now: Time) -> bool {
         let heard = self.ports.directory.heard_at();
         let heard = heard.filter(|at| *at > self.began);
--- a/src/coordinator/seat.rs
+++ b/src/coordinator/seat.rs
@@ -393,7 +393,7 @@
                 .await
                 .is_err_and(|error| error == RecordError::Overtaken)
             {
-                tracing::warn!("another process owns the workflows");
+                tracing::warn!("another process owns the shard");
                 return None;
             }
         }
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,9 +1,10 @@
 //! Logs: text or JSON lines on standard error, with a level that changes at run time.
 
 use std::io::IsTerminal;
+use std::time::Duration;
 
 use tracing::Subscriber;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -73,22 +74,50 @@
 /// The most log lines that wait to be written; more are dropped, so that logs never block.
 const MAX_WAITING_LINES: usize = 8_192;
 
+/// Between two looks at how many lines were dropped.
+const DROPPED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Logs that are written by a thread of their own; what waits is written when this is dropped.
+#[derive(Debug)]
+pub struct JsonLogs {
+    _writer: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl JsonLogs {
+    /// Tells each second how many lines were dropped since the last time, for as long as it is polled.
+    pub async fn tell_dropped(&self) {
+        let mut told = 0;
+        loop {
+            tokio::time::sleep(DROPPED_INTERVAL).await;
+            let dropped = self.dropped.dropped_lines();
+            if dropped > told {
+                tracing::warn!(lines = dropped - told, "log lines were dropped");
+                told = dropped;
+            }
+        }
+    }
+}
+
 /// Sends logs of this process to standard output as JSON lines, written by a thread of their own.
 ///
-/// The returned guard writes what waits when it is dropped.
 ///
 /// # Errors
 ///
 /// Returns an error where `level` is not understood or logs were already set up.
-pub fn init_json(level: &str) -> Result<WorkerGuard> {
+pub fn init_json(level: &str) -> Result<JsonLogs> {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_WAITING_LINES)
         .lossy(true)
         .finish(std::io::stdout());
+    let dropped = writer.error_counter();
     let (subscriber, _) = subscriber(level, true, writer)?;
     let initialised = subscriber.try_init();
     initialised.map_err(|error| Error::Other(error.to_string()))?;
-    Ok(guard)
+    Ok(JsonLogs {
+        _writer: guard,
+        dropped,
+    })
 }
 
 /// Builds what [`init`] sets up, with the lines going to `writer`.
