--- a/src/coordinator/outbox.rs
+++ b/src/coordinator/outbox.rs
@@ -22,8 +22,8 @@
 /// 20 KB of the megabyte that a transaction may hold.
 const MAX_ROWS: usize = 48;
 
-/// Before a transaction rows gather for so long, so that all VMs together stay below the 200
-/// transactions a second of a partition.
+/// Before a transaction rows gather for so long; seven VMs with one transaction each under way stay
+/// below the 200 transactions a second that a partition takes.
 const GATHER: Duration = Duration::from_millis(20);
 
 /// A row that waits, and who waits for it.
--- a/src/coordinator/shards.rs
+++ b/src/coordinator/shards.rs
@@ -18,8 +18,8 @@
 use crate::port::records::{SharedRecords, StoreCall, StoreError, StoreReply, Transaction};
 use crate::workflow::WorkflowId;
 
-/// How many workers one owner is to have. An owner with 350 of them takes up to 0.4 of a core in a
-/// burst, and half a core is the most that a VM of the grown deployments has.
+/// How many workers one owner is to have, so that it needs less than half of the half core that a large
+/// VM of the grown deployments has, and wide gangs still find enough workers that are permitted to them.
 const WORKERS_PER_SHARD: usize = 192;
 
 /// The most shards: each costs the store a partition with its own transactions, and each VM a ping.
