--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -169,17 +169,22 @@
     }
 
     /// Ends all processes; the logs are kept where something was `found`.
-    pub fn end(mut self, found: bool) {
-        for vm in &mut self.vms {
-            let _ = vm.child.kill();
-            let _ = vm.child.wait();
-        }
+    pub fn end(self, found: bool) {
+        drop(self.vms);
         if found {
             println!("logs: {}", self.dir.keep().display());
         }
     }
 }
 
+/// Ends the process, also where a run ends in a panic.
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 fn spawn(name: &str, settings: &PathBuf, dir: &tempfile::TempDir) -> Child {
     let path = dir.path().join(format!("{name}.log"));
     let log = File::options()
