Withhold the slots of an ended process until backend servers have noticed its end

Cause: after a change of a service's owner, the new owner freed the slots of a killed VM as soon as that VM refused connections, or as soon as its next process replied with an empty list of grants. Backend servers notice a closed connection later when the machine is busy, so that up to half of the slots (4 of 8) were granted again while they were still in use. Ruled out: the expiry of single grants and the adoption of reported grants, which have the margin. Change: an ended process counts as unreported for GRANT_EXPIRY_MARGIN, and the reply names its process, so that a new one on the same VM does not report for the old one. Test: slots_of_an_ended_process_are_withheld_until_backend_servers_have_noticed fails on (the fifth request gets a slot at once) and passes now.

--- a/src/decide/slots/mod.rs
+++ b/src/decide/slots/mod.rs
@@ -337,7 +337,7 @@
         let first = *self.queue.front()?;
         let wait = self.waiters.get(first).map(|waiter| waiter.deadline);
         let expiry = self.expiries.first().map(|(at, _)| *at);
-        let takeover = self.takeover.as_ref().map(|takeover| takeover.deadline);
+        let takeover = self.takeover.as_ref().map(Takeover::next_deadline);
         [wait, expiry, takeover].into_iter().flatten().min()
     }
 
@@ -360,8 +360,7 @@
                 self.remove_if_unused(expired.backend);
             }
         }
-        let is_over = |t: &mut Takeover| t.unreported.is_empty() || t.deadline <= now;
-        self.takeover.take_if(is_over);
+        self.takeover.take_if(|takeover| takeover.advance(now));
     }
 
     fn end_expired_waits(&mut self, now: Time, ended: &mut Vec<WaitResult>) {
--- a/src/decide/slots/takeover.rs
+++ b/src/decide/slots/takeover.rs
@@ -1,6 +1,6 @@
 //! Slots that are withheld after a change of the owner.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::{GRANT_EXPIRY_MARGIN, GrantId, OutstandingGrant, SlotAllocator, id_of};
@@ -10,10 +10,30 @@
 #[derive(Clone, Debug)]
 pub(super) struct Takeover {
     pub(super) unreported: HashSet<VmName>,
+    /// The unreported VMs whose processes have ended, and when their slots are free.
+    ended: HashMap<VmName, Time>,
     pub(super) deadline: Time,
     pub(super) released: HashSet<GrantId>,
 }
 
+impl Takeover {
+    /// Removes the VMs whose processes ended long enough ago. Returns whether no slots are withheld
+    /// any more.
+    pub(super) fn advance(&mut self, now: Time) -> bool {
+        let ended = &self.ended;
+        let is_free = |vm: &VmName| ended.get(vm).is_some_and(|at| *at <= now);
+        self.unreported.retain(|vm| !is_free(vm));
+        self.unreported.is_empty() || self.deadline <= now
+    }
+
+    /// When slots become free without a report.
+    pub(super) fn next_deadline(&self) -> Time {
+        let ended = self.ended.iter();
+        let ended = ended.filter(|(vm, _)| self.unreported.contains(*vm));
+        ended.map(|(_, at)| *at).fold(self.deadline, Time::min)
+    }
+}
+
 impl SlotAllocator {
     /// Withholds the slots that each of `vms` may hold, until the VM has reported which grants of
     /// earlier epochs it still uses, or until `longest`, the maximum validity of an earlier grant,
@@ -26,6 +46,7 @@
     ) {
         self.takeover = Some(Takeover {
             unreported: vms.into_iter().collect(),
+            ended: HashMap::new(),
             deadline: now + longest + GRANT_EXPIRY_MARGIN,
             released: HashSet::new(),
         });
@@ -64,9 +85,15 @@
         self.add_grant(id_of(grant), outstanding);
     }
 
-    /// Records that the process on `vm` that may have held grants has certainly ended.
+    /// Records that the process on `vm` that may have held grants has certainly ended. Its slots stay
+    /// withheld until the backend servers have noticed that its connections were closed.
     pub fn holder_ended(&mut self, vm: &VmName, now: Time) {
-        self.report_held(vm, &[], now);
+        if let Some(takeover) = &mut self.takeover
+            && takeover.unreported.contains(vm)
+        {
+            let free_at = now + GRANT_EXPIRY_MARGIN;
+            takeover.ended.entry(vm.clone()).or_insert(free_at);
+        }
     }
 
     /// Returns the VMs that have not reported their grants since the owner changed.
--- a/src/message.rs
+++ b/src/message.rs
@@ -230,7 +230,12 @@
     /// The slot was released.
     Released,
     /// The slots that are still in use.
-    Held(Vec<SlotGrant>),
+    Held {
+        /// The process that replies; an earlier one on the VM may have held others.
+        incarnation: u64,
+        /// The grants of the slots.
+        grants: Vec<SlotGrant>,
+    },
     /// The version and the merged text of a newer configuration; `None` if there is none.
     Config(Option<(u64, String)>),
     /// The status of the VM as JSON.
--- a/src/node/slots/mod.rs
+++ b/src/node/slots/mod.rs
@@ -286,9 +286,10 @@
                     grant,
                     used,
                 } => self.release_grant(&service, &grant, &used),
-                Request::HeldSlots { service, epoch } => {
-                    Reply::Held(self.active_grants().fence(&service, epoch, Instant::now()))
-                }
+                Request::HeldSlots { service, epoch } => Reply::Held {
+                    incarnation: self.identity.incarnation,
+                    grants: self.active_grants().fence(&service, epoch, Instant::now()),
+                },
                 _ => Reply::NotOwner,
             }
         })
--- a/tests/decide_slots.rs
+++ b/tests/decide_slots.rs
@@ -290,6 +290,30 @@
     );
 }
 
+/// A backend server may still work on the requests of a process that was killed when the next owner
+/// learns of its end.
+#[test]
+fn slots_of_an_ended_process_are_withheld_until_backend_servers_have_noticed() {
+    let mut allocator = allocator(&[8], 20);
+    let vm: VmName = "a".into();
+    allocator.take_over([vm.clone()], VALID, START);
+    allocator.holder_ended(&vm, START);
+    for _ in 0..4 {
+        granted(allocator.acquire(&request(&[]), START));
+    }
+    let waits = waiting(allocator.acquire(&request_of("b", &[]), START));
+    allocator.holder_ended(&vm, START + GRANT_EXPIRY_MARGIN / 2);
+    assert!(advance(&mut allocator, START + GRANT_EXPIRY_MARGIN / 2).is_empty());
+    assert_eq!(
+        allocator.next_deadline(),
+        Some(START + GRANT_EXPIRY_MARGIN),
+        "repeated reports do not extend the time"
+    );
+    let ended = advance(&mut allocator, START + GRANT_EXPIRY_MARGIN);
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].0, waits);
+}
+
 #[test]
 fn slots_are_withheld_for_the_maximum_validity_if_a_vm_never_reports() {
     let mut allocator = allocator(&[1], 10);
