Reserve capacity for waiting gangs and for urgent tasks, and request permits early

Two of six shards were owned by VMs of 0.09 cores for the first 10 to 20 s, since each VM claimed shards that had no owner without regard to its CPU. The reserve of 11 percent of each worker for urgent tasks was smaller than one urgent task. Change: a waiting gang reserves room on eligible workers for one placement round at a time (workflow/engine/reservation.rs), at most 8 percent of a shard beside the first gang; permits of waiting steps are requested before room is free; the reserve for urgent tasks lies on the fastest workers and follows the observed load (workflow/urgent_reserve.rs); steps that certainly miss their objective come after those that can meet it; workers' speeds are learned faster; VMs with more CPU claim first (coordinator/first_claim.rs). A test that relied on two workers keeping the same speed now gives the right estimate; it checks the same.

--- a/src/coordinator/elector.rs
+++ b/src/coordinator/elector.rs
@@ -7,11 +7,11 @@
 use kameo::actor::{ActorRef, Spawn};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::event::{Event, OwnershipEnd};
 use super::feeder;
 use super::fenced_writer::{FencedWriter, StoreObserver, WriteError};
+use super::first_claim::first_claim_delay;
 use super::layout::OwnerRecord;
 use super::message::{OwnerHint, WorkflowReply, WorkflowRequest};
 use super::owner::{HEARTBEAT_INTERVAL, WorkflowOwner, WorkflowOwnerPorts};
@@ -55,6 +55,16 @@
     since: Time,
 }
 
+impl UnchangedRecord {
+    /// Since when the record, whose version is `version` now, has not changed. Updates `known`.
+    fn since(known: &mut Option<Self>, version: u64, now: Time) -> Time {
+        let unchanged = known.take().filter(|known| known.version == version);
+        let since = unchanged.map_or(now, |known| known.since);
+        *known = Some(Self { version, since });
+        since
+    }
+}
+
 /// Logs failed calls only; used while a new owner loads the shard.
 struct NoStoreObserver;
 
@@ -66,10 +76,6 @@
     fn on_success(&self) {}
 }
 
-/// The range of the delay before a VM claims a shard that has never had an owner. It differs by VM and
-/// shard, so that of several VMs that start together, one does not claim all shards.
-const FIRST_CLAIM_SPREAD_MS: u64 = 400;
-
 /// Decides when this VM claims a shard, and runs the shard's owner while this VM owns it.
 pub(super) struct OwnerElector {
     shard: ShardId,
@@ -222,10 +228,13 @@
         let now = self.ports.clock.now();
         let local = self.ports.cluster.local_member();
         let Some((record, version)) = found else {
-            let key = format!("{} {}", local.vm, self.shard);
-            let delay_ms = xxh3_64(key.as_bytes()) % FIRST_CLAIM_SPREAD_MS;
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-            self.claim(0, 0).await;
+            let since = UnchangedRecord::since(unchanged, 0, now);
+            let delay = first_claim_delay(&local, self.shard);
+            let delay_left = delay.saturating_sub(now.since(since));
+            if delay_left <= RECORD_CHECK_INTERVAL {
+                tokio::time::sleep(delay_left).await;
+                self.claim(0, 0).await;
+            }
             return;
         };
         let hint = OwnerHint {
@@ -235,16 +244,7 @@
         self.ports.cluster.set_owner(self.shard, hint);
         // This VM runs no owner now, so a record of this VM is from an earlier owner.
         let is_own_record = record.vm == local.vm;
-        let since = match unchanged {
-            Some(known) if known.version == version => known.since,
-            _ => {
-                *unchanged = Some(UnchangedRecord {
-                    version,
-                    since: now,
-                });
-                now
-            }
-        };
+        let since = UnchangedRecord::since(unchanged, version, now);
         let timeout = if record.released || is_own_record {
             Duration::ZERO
         } else {
@@ -310,7 +310,11 @@
 
     /// Loads the shard's records and runs the owner until its ownership ends.
     async fn run_owner(&self, mut writer: FencedWriter) {
+        // Counted while the records are still being loaded, so that this VM claims no further shard
+        // that another one has more CPU for.
+        self.ports.cluster.shard_acquired();
         let Some((snapshot, listed)) = self.load_snapshot(&mut writer).await else {
+            self.ports.cluster.shard_released();
             return;
         };
         let now = self.ports.clock.now();
@@ -368,7 +372,6 @@
         ));
         tasks.spawn(feeder::forward_queues(self.queues.clone(), owner.clone()));
         *self.lock() = Some(owner);
-        self.ports.cluster.shard_acquired();
         let hint = OwnerHint {
             epoch,
             address: self.ports.cluster.local_address(),
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 pub mod exposition;
 mod feeder;
 mod fenced_writer;
+pub mod first_claim;
 pub mod gateway;
 mod handler;
 mod layout;
--- a/src/model.rs
+++ b/src/model.rs
@@ -132,6 +132,37 @@
         }
     }
 
+    /// Returns the saturating product of each dimension with `factor`.
+    pub fn times(&self, factor: u32) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(factor),
+            memory_mib: self.memory_mib.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
+        }
+    }
+
+    /// Returns `percent` of each dimension, rounded down.
+    pub fn percent(&self, percent: u32) -> Self {
+        let part = |value: u32| {
+            let part = u64::from(value) * u64::from(percent) / 100;
+            u32::try_from(part).unwrap_or(u32::MAX)
+        };
+        Self {
+            cpu_milli: part(self.cpu_milli),
+            memory_mib: part(self.memory_mib),
+            accelerators: part(self.accelerators),
+        }
+    }
+
+    /// Returns the minimum of each dimension.
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the maximum of each dimension.
     pub fn max(&self, other: &Self) -> Self {
         Self {
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -12,6 +12,7 @@
 mod place;
 mod polling;
 mod requests;
+mod reservation;
 mod submission;
 mod workers;
 
@@ -24,6 +25,7 @@
 use super::policy::{EngineConfig, QueuePolicy};
 use super::record::WorkflowState;
 use super::spec::{StepId, TaskId, WorkflowId};
+use super::urgent_reserve::UrgentLoad;
 use crate::model::{QueueName, Time, WorkerName};
 use crate::port::executor::{PollRequest, StartRequest, WorkerTarget};
 
@@ -134,6 +136,10 @@
     max_permit_requests: usize,
     /// The average share of requested workers that got a permit, by queue.
     granted_share: HashMap<QueueName, f64>,
+    /// The load of urgent tasks, which determines how much capacity is reserved for them.
+    urgent_load: UrgentLoad,
+    /// When the reserve for urgent tasks was last updated.
+    last_urgent_reserve: Time,
     /// Whether something has changed that may allow a task to start.
     placement_due: bool,
     /// When steps are placed at the latest, even if nothing has changed.
@@ -163,6 +169,8 @@
             permit_requests_in_flight: 0,
             max_permit_requests: 1,
             granted_share: HashMap::new(),
+            urgent_load: UrgentLoad::default(),
+            last_urgent_reserve: Time::default(),
             placement_due: false,
             next_placement: Time::default(),
             last_placement: None,
--- a/src/workflow/engine/permits.rs
+++ b/src/workflow/engine/permits.rs
@@ -20,6 +20,9 @@
 /// step.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The delay between two checks whether a step needs further permits.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The share of workers assumed to get a permit before a queue's first response.
 const INITIAL_GRANTED_SHARE: f64 = 0.5;
 
@@ -39,12 +42,22 @@
     name: &'a WorkerName,
     /// Whether the worker is eligible for a permit, if that is known.
     eligible: Option<bool>,
+    /// Whether the step has a permit for the worker that outlasts another permit request.
+    permitted: bool,
     /// The number of the step's tasks that fit now.
     fitting: u32,
+    free_cpu_milli: u32,
     /// The number of the step's tasks that would fit if the worker were empty.
     fitting_when_empty: u32,
 }
 
+impl PermitCandidate<'_> {
+    /// The number of tasks that are expected to fit once one more run has ended on the worker.
+    fn fitting_soon(&self) -> u32 {
+        self.fitting.max(1)
+    }
+}
+
 impl Engine {
     /// Requests permits for a step if the response is likely to be useful now.
     pub(super) fn request_permits(&mut self, step: StepId, spec: &StepSpec, now: Time) {
@@ -73,6 +86,9 @@
             workers_to_request(candidates, waiting as f64, share)
         };
         if workers.is_empty() {
+            if let Some(permits) = self.permits_mut(step) {
+                permits.not_before = now + RECHECK_INTERVAL;
+            }
             return;
         }
         let takes_ms = as_millis(latency.estimate(workers.len()));
@@ -99,15 +115,25 @@
     ) -> Vec<PermitCandidate<'a>> {
         let active = self.active.get(&step.workflow);
         let priority = active.map_or(u8::MAX, |active| active.policy.priority);
+        let latency = active.and_then(|active| active.policy.permits);
+        let next_response = now
+            + latency.map_or(Duration::ZERO, |latency| {
+                latency.estimate(spec.tasks as usize)
+            });
         let mut candidates = Vec::new();
-        for (_, worker) in self.fleet.iter() {
+        for (key, worker) in self.fleet.iter() {
             let name = &worker.listing.name;
+            let permit = permits.granted.get(&key);
+            let permitted = permit.is_some_and(|permit| {
+                permit.boot == worker.listing.boot && permit.expires_at > next_response
+            });
             let eligible = permits.eligibility.get(name).copied();
             let possible = worker.listed && !worker.listing.draining && eligible != Some(false);
-            if !possible || !self.matches_step(worker, step, spec) {
+            let max = spec.max_per_worker.unwrap_or(u32::MAX).min(spec.tasks);
+            let fitting_when_empty = worker.fitting_tasks_when_empty(&spec.reserved(), max);
+            if !possible || fitting_when_empty == 0 || !self.matches_step(worker, step, spec) {
                 continue;
             }
-            let max = spec.max_per_worker.unwrap_or(u32::MAX).min(spec.tasks);
             let fitting = if worker.is_usable(now) {
                 self.fitting_tasks(worker, spec, priority, max)
             } else {
@@ -116,12 +142,13 @@
             candidates.push(PermitCandidate {
                 name,
                 eligible,
+                permitted,
                 fitting,
-                fitting_when_empty: worker.fitting_tasks_when_empty(&spec.reserved(), max),
+                free_cpu_milli: worker.free_capacity().cpu_milli,
+                fitting_when_empty,
             });
         }
-        candidates
-            .sort_by_key(|worker| std::cmp::Reverse((worker.fitting, worker.fitting_when_empty)));
+        candidates.sort_by_key(|worker| std::cmp::Reverse((worker.fitting, worker.free_cpu_milli)));
         candidates
     }
 
@@ -206,16 +233,23 @@
 }
 
 /// The workers to request permits for, for `waiting` tasks that do not form a gang: those with the
-/// most free capacity, as many as are expected to suffice. `share` is the expected share of workers
-/// that get a permit, among those whose eligibility is not known.
+/// most free capacity, as many as are expected to suffice together with the permits that the step
+/// has. Busy workers count with one task each, so that tasks start as soon as a run ends there.
+/// `share` is the expected share of workers that get a permit, among those whose eligibility is not
+/// known.
 fn workers_to_request(
     candidates: Vec<PermitCandidate>,
     waiting: f64,
     share: f64,
 ) -> Vec<WorkerName> {
-    let mut expected = 0.0;
+    let permitted = candidates.iter().filter(|worker| worker.permitted);
+    let permitted: u32 = permitted.map(PermitCandidate::fitting_soon).sum();
+    let mut expected = f64::from(permitted);
     let mut requested = Vec::new();
-    for worker in candidates.iter().filter(|worker| worker.fitting > 0) {
+    if expected >= waiting * CAPACITY_FACTOR {
+        return requested;
+    }
+    for worker in candidates.iter().filter(|worker| !worker.permitted) {
         let is_enough =
             expected >= waiting * CAPACITY_FACTOR && requested.len() >= MIN_WORKERS_PER_REQUEST;
         if is_enough || requested.len() >= MAX_WORKERS_PER_REQUEST {
@@ -226,33 +260,56 @@
         } else {
             share
         };
-        expected += f64::from(worker.fitting) * probability;
+        expected += f64::from(worker.fitting_soon()) * probability;
         requested.push(worker.name.clone());
     }
     requested
 }
 
 /// The workers to request permits for, for a gang of `tasks`. Permit requests for a gang take long.
-/// The first ones find out which workers are eligible, including busy ones; later ones are sent
-/// only once the eligible workers have enough free capacity.
+/// The first ones find out which workers are eligible, including busy ones. Later ones renew permits
+/// once the gang, which reserves capacity on its eligible workers, is likely to start soon.
 fn workers_to_request_for_gang(candidates: Vec<PermitCandidate>, tasks: u32) -> Vec<WorkerName> {
     /// A gang waits for its eligible workers if their total capacity, when empty, is at least this
-    /// multiple of what it needs.
-    const ELIGIBLE_CAPACITY_FACTOR: u32 = 3;
-    let eligible = candidates.iter().filter(|worker| worker.eligible.is_some());
-    let fitting: u32 = eligible.clone().map(|worker| worker.fitting).sum();
-    if fitting >= tasks {
-        let with_capacity = eligible.filter(|worker| worker.fitting > 0).copied();
-        return workers_to_request(with_capacity.collect(), f64::from(tasks), 1.0);
+    /// multiple of what it needs. Capacity for a gang becomes free in proportion to it.
+    const ELIGIBLE_CAPACITY_FACTOR: u32 = 8;
+    /// Permits are renewed once this part of the gang fits, as the rest of the capacity becomes free
+    /// while the request is in flight.
+    const RENEWAL_FITTING_PERCENT: u32 = 50;
+    /// The capacity of the workers in a renewal, in percent of what the gang needs: urgent tasks take
+    /// some of it before the response arrives.
+    const RENEWED_CAPACITY_PERCENT: u32 = 200;
+    let eligible = || {
+        let eligible = candidates.iter();
+        eligible.filter(|worker| worker.eligible.is_some())
+    };
+    let fitting: u32 = eligible().map(|worker| worker.fitting).sum();
+    if fitting.saturating_mul(100) >= tasks.saturating_mul(RENEWAL_FITTING_PERCENT) {
+        let mut missing = tasks;
+        let mut wanted = eligible().take_while(|worker| take_capacity(&mut missing, worker));
+        if wanted.all(|worker| worker.permitted) {
+            return Vec::new();
+        }
+        let mut missing = tasks.saturating_mul(RENEWED_CAPACITY_PERCENT) / 100;
+        let renewed = eligible().take_while(|worker| take_capacity(&mut missing, worker));
+        let renewed = renewed.map(|worker| worker.name.clone());
+        return renewed.take(MAX_WORKERS_PER_REQUEST).collect();
     }
-    let fitting_when_empty: u32 = eligible.map(|worker| worker.fitting_when_empty).sum();
+    let fitting_when_empty: u32 = eligible().map(|worker| worker.fitting_when_empty).sum();
     let has_unknown = candidates.iter().any(|worker| worker.eligible.is_none());
     if fitting_when_empty >= tasks.saturating_mul(ELIGIBLE_CAPACITY_FACTOR) || !has_unknown {
         return Vec::new();
     }
-    let requested = candidates.iter().filter(|worker| {
-        worker.fitting_when_empty > 0 && (worker.eligible.is_none() || worker.fitting > 0)
-    });
+    let requested = candidates
+        .iter()
+        .filter(|worker| worker.eligible.is_none() || worker.fitting > 0);
     let requested = requested.map(|worker| worker.name.clone());
     requested.take(MAX_WORKERS_PER_REQUEST).collect()
 }
+
+/// Takes the tasks that soon fit on `worker` from the `missing` ones; false if none was missing.
+fn take_capacity(missing: &mut u32, worker: &PermitCandidate) -> bool {
+    let is_needed = *missing > 0;
+    *missing = missing.saturating_sub(worker.fitting_soon());
+    is_needed
+}
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -1,20 +1,20 @@
 //! Placement of waiting tasks on workers, the most urgent first.
 
+use std::collections::HashSet;
+use std::time::Duration;
+
 use super::{Engine, ReadyKey};
 use crate::model::{Resources, Time};
 use crate::workflow::fleet::{Worker, WorkerKey};
+use crate::workflow::policy::URGENT_PRIORITY;
 use crate::workflow::spec::{StepId, StepSpec};
 
 /// The maximum number of steps per round; later steps wait for the capacity that the first ones
 /// leave.
 const MAX_STEPS_PER_ROUND: usize = 256;
 
-/// The priority of urgent queues, whose results someone waits for.
-const URGENT_PRIORITY: u8 = 0;
-
-/// The percentage of each worker's processors that is reserved for urgent tasks: their share of the
-/// load at the users' sites, 86 of 768 cores.
-const URGENT_RESERVED_PERCENT: u32 = 11;
+/// The interval between two choices of the workers on which capacity is reserved for urgent tasks.
+const URGENT_RESERVE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A worker that can run tasks of a step.
 #[derive(Clone, Copy, Debug)]
@@ -23,23 +23,80 @@
     /// The number of tasks that fit.
     fitting: u32,
     /// Lower is better.
-    rank: (bool, i64, u32),
+    rank: Rank,
 }
 
+/// The rank of a worker for a step; lower is better.
+type Rank = (bool, i64, bool, u32);
+
 impl Engine {
     /// Tries to place the steps that may start.
     pub(super) fn place_ready_steps(&mut self, now: Time) {
         if self.ready.is_empty() {
             return;
         }
+        self.clear_reservations();
+        self.update_urgent_reserve(now);
         let max_free = self.max_free_capacity(now);
         let first = self.ready.iter().take(MAX_STEPS_PER_ROUND);
-        let keys: Vec<ReadyKey> = first.copied().collect();
+        let mut keys: Vec<ReadyKey> = first.copied().collect();
+        keys.sort_by_key(|key| (key.priority, self.misses_objective(key, now), key.deadline));
         for key in keys {
             self.place_step(key, &max_free, now);
         }
     }
 
+    /// Whether the workflow of the step will certainly miss its latency objective. Such a step waits
+    /// for those that can still meet theirs, unless someone waits for its result.
+    fn misses_objective(&self, key: &ReadyKey, now: Time) -> bool {
+        /// Tasks may run in this part of their estimate: estimates are off by up to a factor of two.
+        const MIN_RUN_TIME_PERCENT: u32 = 50;
+        if key.priority == URGENT_PRIORITY {
+            return false;
+        }
+        let active = self.active.get(&key.step.workflow);
+        let spec = active.and_then(|active| active.spec.steps.get(key.step.step as usize));
+        let estimate = Duration::from_millis(spec.map_or(0, |spec| u64::from(spec.estimate_ms)));
+        now + estimate * MIN_RUN_TIME_PERCENT / 100 > key.deadline
+    }
+
+    /// Records the urgent load, and chooses the workers on which capacity is reserved for it.
+    fn update_urgent_reserve(&mut self, now: Time) {
+        if now.since(self.last_urgent_reserve) < URGENT_RESERVE_INTERVAL {
+            return;
+        }
+        self.last_urgent_reserve = now;
+        let mut urgent = self.waiting_urgent_tasks();
+        let mut total = Resources::default();
+        for (_, worker) in self.fleet.iter() {
+            urgent = urgent.plus(worker.urgent());
+            total = total.plus(&worker.listing.capacity);
+        }
+        self.urgent_load.record(&urgent, &total, now);
+        let usable = self
+            .fleet
+            .iter()
+            .filter(|(_, worker)| worker.is_usable(now));
+        let usable = usable.map(|(key, worker)| (key, worker.speed()));
+        let reserved = self.urgent_load.choose_workers(usable.collect());
+        let reserved: HashSet<WorkerKey> = reserved.into_iter().collect();
+        for (key, worker) in self.fleet.iter_mut() {
+            worker.in_urgent_reserve = reserved.contains(&key);
+        }
+    }
+
+    /// The resources of the urgent tasks that wait to be placed.
+    fn waiting_urgent_tasks(&self) -> Resources {
+        let urgent = self.ready.iter();
+        let urgent = urgent.take_while(|key| key.priority == URGENT_PRIORITY);
+        urgent.fold(Resources::default(), |sum, key| {
+            let active = self.active.get(&key.step.workflow);
+            let spec = active.and_then(|active| active.spec.steps.get(key.step.step as usize));
+            let needed = spec.map(|spec| spec.reserved().times(spec.tasks));
+            sum.plus(&needed.unwrap_or_default())
+        })
+    }
+
     /// The maximum free capacity of a usable worker, separately for each resource. The free
     /// capacity only shrinks within a round, so that the result remains an upper bound.
     fn max_free_capacity(&self, now: Time) -> Resources {
@@ -68,14 +125,17 @@
             return;
         };
         let recorded = active.recorded;
-        // Permits for a gang are requested even while no worker has free capacity.
-        if !spec.gang && !spec.reserved().fits_in(max_free) {
+        let may_fit = recorded && spec.reserved().fits_in(max_free);
+        if may_fit && self.place_tasks(id, &spec, now) {
             return;
         }
-        let placed = recorded && self.place_tasks(id, &spec, now);
-        if !placed && self.needs_permit(id) {
+        // Permits are requested even while no worker has free capacity.
+        if self.needs_permit(id) {
             self.request_permits(id, &spec, now);
         }
+        if spec.gang && recorded {
+            self.reserve_for_gang(id, &spec, now);
+        }
     }
 
     /// Places the tasks of the step that fit, a gang only as a whole. Returns whether all waiting
@@ -131,11 +191,19 @@
             permit
                 .is_some_and(|permit| permit.expires_at > now && permit.boot == worker.listing.boot)
         };
+        let of_permits = state.permits.granted.keys();
+        let of_permits = of_permits.filter_map(|key| Some((*key, self.fleet.get(*key)?)));
+        let workers: Vec<(WorkerKey, &Worker)> = if needs_permit {
+            let mut workers: Vec<_> = of_permits.collect();
+            workers.retain(|(key, worker)| permitted(*key, worker));
+            // The permits are in no fixed order.
+            workers.sort_unstable_by_key(|(key, _)| *key);
+            workers
+        } else {
+            self.fleet.iter().collect()
+        };
         let mut candidates = Vec::new();
-        for (key, worker) in self.fleet.iter() {
-            if needs_permit && !permitted(key, worker) {
-                continue;
-            }
+        for (key, worker) in workers {
             if !worker.is_usable(now) || !self.matches_step(worker, id, spec) {
                 continue;
             }
@@ -156,9 +224,9 @@
         candidates
     }
 
-    /// How many tasks of the step fit on the worker, up to `max`. If any queue is urgent, the other
-    /// queues leave a part of each worker to it. Gangs may use the whole worker, since only few
-    /// workers may have a permit for them.
+    /// How many tasks of the step fit on the worker, up to `max`. Tasks that are not urgent leave the
+    /// reserve to urgent ones. Gangs may use the whole worker, since only few workers may have a
+    /// permit for them.
     pub(super) fn fitting_tasks(
         &self,
         worker: &Worker,
@@ -166,16 +234,10 @@
         priority: u8,
         max: u32,
     ) -> u32 {
-        let has_urgent_queue = self
-            .queues
-            .values()
-            .any(|queue| queue.priority == URGENT_PRIORITY);
-        let spare_percent = if has_urgent_queue && priority != URGENT_PRIORITY && !spec.gang {
-            URGENT_RESERVED_PERCENT
-        } else {
-            0
-        };
-        worker.fitting_tasks(&spec.reserved(), spare_percent, max)
+        if priority == URGENT_PRIORITY || spec.gang {
+            return worker.fitting_tasks(&spec.reserved(), max);
+        }
+        worker.fitting_tasks_beside_reserve(&spec.reserved(), max)
     }
 
     /// Whether the worker belongs to the service of the step's queue and has the required label.
@@ -213,9 +275,9 @@
 /// Ranks a worker for a step; lower is better.
 ///
 /// Data locality takes precedence. Urgent tasks prefer fast workers, other tasks slow ones. Among
-/// workers of similar speed, all tasks prefer those with less free capacity, which keeps whole
-/// workers free for gangs.
-fn rank(worker: &Worker, spec: &StepSpec, priority: u8) -> (bool, i64, u32) {
+/// workers of similar speed, all tasks prefer those that no gang waits for, then those with less free
+/// capacity, which keeps whole workers free for gangs.
+fn rank(worker: &Worker, spec: &StepSpec, priority: u8) -> Rank {
     /// The width of a class of workers of similar speed; the speed of a worker is relative to
     /// estimates.
     const SPEED_CLASS_WIDTH: f64 = 0.2;
@@ -226,7 +288,9 @@
     } else {
         speed_class
     };
-    (is_remote, speed_rank, worker.free_capacity().cpu_milli)
+    let disturbs_gang = !spec.gang && worker.is_wanted_by_gang();
+    let free_cpu_milli = worker.free_capacity().cpu_milli;
+    (is_remote, speed_rank, disturbs_gang, free_cpu_milli)
 }
 
 /// Assigns workers to up to `tasks` tasks and fills one candidate after the other.
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -8,6 +8,7 @@
 use crate::port::executor::{ActiveRun, ExecutorError, PollRequest, PollResponse, Rejection};
 use crate::workflow::active::TaskStatus;
 use crate::workflow::fleet::{ReservedRun, RunState, Worker, WorkerKey};
+use crate::workflow::policy::URGENT_PRIORITY;
 use crate::workflow::spec::TaskId;
 
 /// How long a poll waits for a run to end: the maximum that workers allow.
@@ -15,7 +16,7 @@
 
 /// The interval between a poll response and the next poll while urgent tasks run, so that one poll
 /// reports several ended runs.
-const URGENT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+const URGENT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The interval between a poll response and the next poll while no urgent tasks run.
 const NON_URGENT_POLL_INTERVAL: Duration = Duration::from_millis(600);
@@ -35,9 +36,6 @@
 /// The maximum number of ended runs in one poll response.
 const MAX_ENDED_PER_RESPONSE: usize = 500;
 
-/// The priority of urgent queues, whose results someone waits for.
-const URGENT_PRIORITY: u8 = 0;
-
 impl Engine {
     /// Sends the polls that are due.
     pub(super) fn poll_workers(&mut self, now: Time) {
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -5,7 +5,9 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use super::policy::URGENT_PRIORITY;
 use super::spec::TaskId;
+use super::urgent_reserve::RESERVED_PERCENT;
 use crate::model::{Resources, Time, WorkerName};
 use crate::port::executor::WorkerListing;
 
@@ -85,7 +87,16 @@
     /// token.
     pub(super) knows_fencing_token: bool,
     pub(super) runs: HashMap<TaskId, ReservedRun>,
+    /// The capacity that runs use.
     pub(super) reserved: Resources,
+    /// The part of it that urgent runs use.
+    urgent: Resources,
+    /// Whether the worker is part of the reserve for urgent tasks.
+    pub(super) in_urgent_reserve: bool,
+    /// The capacity that waiting gangs reserve in the current placement round.
+    reserved_for_gangs: Resources,
+    /// Whether a gang reserved capacity in the previous placement round.
+    wanted_by_gang: bool,
     /// The number of active runs that are neither confirmed nor adopted; they must end before new
     /// tasks start on the worker.
     pub(super) unknown_runs: usize,
@@ -109,6 +120,8 @@
     failures_in_row: u32,
     /// The average ratio of the estimated to the actual run time; 1.0 until known.
     speed: f64,
+    /// The number of successful runs.
+    successes: u32,
 }
 
 impl Worker {
@@ -119,6 +132,10 @@
             knows_fencing_token: false,
             runs: HashMap::new(),
             reserved: Resources::default(),
+            urgent: Resources::default(),
+            in_urgent_reserve: false,
+            reserved_for_gangs: Resources::default(),
+            wanted_by_gang: false,
             unknown_runs: 0,
             processed_sequence: 0,
             committed_sequence: 0,
@@ -132,6 +149,7 @@
             failed_requests: 0,
             failures_in_row: 0,
             speed: 1.0,
+            successes: 0,
         }
     }
 
@@ -141,10 +159,10 @@
         let lost = self.runs.keys().copied().collect();
         let mut listing = self.listing.clone();
         listing.boot = boot;
-        let speed = self.speed;
+        let (speed, successes) = (self.speed, self.successes);
         let poll_in_flight = self.poll_in_flight;
         *self = Self::new(listing, self.listed, now);
-        self.speed = speed;
+        (self.speed, self.successes) = (speed, successes);
         self.poll_in_flight = poll_in_flight;
         lost
     }
@@ -160,26 +178,55 @@
             && now >= self.set_aside_until
     }
 
-    /// The capacity that is not reserved.
+    /// The capacity that is reserved neither for runs nor for gangs.
     pub(super) fn free_capacity(&self) -> Resources {
-        self.listing.capacity.minus(&self.reserved)
+        let unused = self.listing.capacity.minus(&self.reserved);
+        unused.minus(&self.reserved_for_gangs)
     }
 
-    /// How many tasks of this size fit, up to `max`, if `spare_percent` of the processors are kept
-    /// free. A task that is too large for the rest may use the whole worker.
-    pub(super) fn fitting_tasks(&self, need: &Resources, spare_percent: u32, max: u32) -> u32 {
-        let total = self.listing.capacity.cpu_milli;
-        let spare = total / 100 * spare_percent;
-        let spare = if need.cpu_milli > total - spare {
-            0
-        } else {
-            spare
-        };
-        let free = self.free_capacity().minus(&Resources {
-            cpu_milli: spare,
-            ..Resources::default()
-        });
-        fitting_count(need, &free).min(max)
+    /// Reserves capacity for a waiting gang until the next placement round.
+    pub(super) fn reserve_for_gang(&mut self, capacity: &Resources) {
+        self.reserved_for_gangs = self.reserved_for_gangs.plus(capacity);
+    }
+
+    /// The capacity that gangs reserve in the current placement round.
+    pub(super) fn reserved_for_gangs(&self) -> &Resources {
+        &self.reserved_for_gangs
+    }
+
+    /// Removes the reservations for gangs.
+    pub(super) fn clear_reservation(&mut self) {
+        let reserved = std::mem::take(&mut self.reserved_for_gangs);
+        self.wanted_by_gang = reserved != Resources::default();
+    }
+
+    /// Whether a gang reserved capacity in the previous placement round.
+    pub(super) fn is_wanted_by_gang(&self) -> bool {
+        self.wanted_by_gang
+    }
+
+    /// How many tasks of this size fit, up to `max`.
+    pub(super) fn fitting_tasks(&self, need: &Resources, max: u32) -> u32 {
+        fitting_count(need, &self.free_capacity()).min(max)
+    }
+
+    /// How many tasks of this size fit, up to `max`, if the reserve for urgent tasks is kept free. A
+    /// task that is too large for the rest may use the whole worker.
+    pub(super) fn fitting_tasks_beside_reserve(&self, need: &Resources, max: u32) -> u32 {
+        if !self.in_urgent_reserve {
+            return self.fitting_tasks(need, max);
+        }
+        let reserve = self.listing.capacity.percent(RESERVED_PERCENT);
+        if !need.fits_in(&self.listing.capacity.minus(&reserve)) {
+            return self.fitting_tasks(need, max);
+        }
+        let unused_reserve = reserve.minus(&self.urgent);
+        fitting_count(need, &self.free_capacity().minus(&unused_reserve)).min(max)
+    }
+
+    /// The resources that urgent runs use.
+    pub(super) fn urgent(&self) -> &Resources {
+        &self.urgent
     }
 
     /// How many tasks of this size would fit if the worker were empty, up to `max`.
@@ -188,15 +235,20 @@
     }
 
     pub(super) fn reserve(&mut self, task: TaskId, run: ReservedRun) {
-        if let Some(replaced) = self.runs.insert(task, run) {
-            self.reserved = self.reserved.minus(&replaced.reserved);
-        }
+        self.release(task);
+        self.runs.insert(task, run);
         self.reserved = self.reserved.plus(&run.reserved);
+        if run.priority == URGENT_PRIORITY {
+            self.urgent = self.urgent.plus(&run.reserved);
+        }
     }
 
     pub(super) fn release(&mut self, task: TaskId) -> Option<ReservedRun> {
         let run = self.runs.remove(&task)?;
         self.reserved = self.reserved.minus(&run.reserved);
+        if run.priority == URGENT_PRIORITY {
+            self.urgent = self.urgent.minus(&run.reserved);
+        }
         Some(run)
     }
 
@@ -295,11 +347,15 @@
     pub(super) fn record_success(&mut self, duration: Duration, estimate_ms: u32) {
         /// The weight of one run in the average; estimates are off by up to a factor of two.
         const WEIGHT: f64 = 0.1;
+        /// The number of runs that the initial speed of 1.0 counts for.
+        const INITIAL_SPEED_RUNS: u32 = 1;
         self.failures_in_row = 0;
         let duration_ms = duration.as_secs_f64() * 1_000.0;
         if duration_ms > 0.0 && estimate_ms > 0 {
             let speed = (f64::from(estimate_ms) / duration_ms).clamp(0.1, 10.0);
-            self.speed += (speed - self.speed) * WEIGHT;
+            self.successes += 1;
+            let weight = 1.0 / f64::from(self.successes.saturating_add(INITIAL_SPEED_RUNS));
+            self.speed += (speed - self.speed) * weight.max(WEIGHT);
         }
     }
 
@@ -346,6 +402,10 @@
         self.workers.iter()
     }
 
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (WorkerKey, &mut Worker)> {
+        self.workers.iter_mut()
+    }
+
     pub(super) fn keys(&self) -> Vec<WorkerKey> {
         self.workers.keys().collect()
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -10,6 +10,7 @@
 pub mod record;
 mod routes;
 mod spec;
+pub mod urgent_reserve;
 
 pub use engine::{CancelStatus, CommitBatch, Effect, EndAck, Engine, ReplyToken, SubmitStatus};
 pub use fleet::WorkerKey;
--- a/src/workflow/policy.rs
+++ b/src/workflow/policy.rs
@@ -6,6 +6,9 @@
 
 use crate::model::{QueueName, ServiceName};
 
+/// The priority of urgent queues, whose results someone waits for.
+pub(super) const URGENT_PRIORITY: u8 = 0;
+
 /// The expected response time of the permit service.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitLatency {
--- a/tests/workflow/lifecycle.rs
+++ b/tests/workflow/lifecycle.rs
@@ -118,7 +118,7 @@
 #[test]
 fn a_cancelled_workflow_is_stopped_and_does_not_restart() {
     let mut world = World::new(2, false);
-    world.task_ms = 60_000;
+    world.task_ms = Some(60_000);
     world.run_for(100);
     world.submit(1, vec![step(4, 500)]);
     world.run_for(1_000);
@@ -136,7 +136,7 @@
 #[test]
 fn the_task_of_an_unreachable_worker_runs_elsewhere_after_its_lease_has_expired() {
     let mut world = World::new(2, false);
-    world.task_ms = 20_000;
+    world.task_ms = Some(20_000);
     world.run_for(100);
     world.submit(1, vec![step(1, 500)]);
     world.run_for(500);
@@ -179,7 +179,7 @@
 #[test]
 fn the_task_of_a_restarted_worker_is_restarted() {
     let mut world = World::new(1, false);
-    world.task_ms = 2_000;
+    world.task_ms = Some(2_000);
     world.run_for(100);
     world.submit(1, vec![step(1, 500)]);
     world.run_for(500);
@@ -210,7 +210,7 @@
 #[test]
 fn ended_runs_of_a_new_worker_process_are_not_acknowledged_before_they_are_processed() {
     let mut world = World::new(1, false);
-    world.task_ms = 60;
+    world.task_ms = Some(60);
     world.run_for(100);
     for id in 1..=20 {
         world.submit(id, vec![step(1, 500)]);
@@ -228,15 +228,20 @@
 #[test]
 fn the_run_on_a_new_worker_process_is_not_restarted_elsewhere() {
     let mut world = World::new(2, false);
-    world.task_ms = 1_000;
+    world.task_ms = Some(1_000);
     world.run_for(100);
-    world.submit(1, vec![step(1, 500)]);
+    // The estimate is right, so that the worker keeps its speed and runs the second task too.
+    let step = StepSpec {
+        estimate_ms: 1_000,
+        ..step(1, 500)
+    };
+    world.submit(1, vec![step.clone()]);
     world.run_for(200);
     let at = world.workers.iter().position(|worker| worker.running() > 0);
     let at = at.unwrap();
     world.run_for(3_000);
     world.restart_worker_unnoticed(at);
-    world.submit(2, vec![step(1, 500)]);
+    world.submit(2, vec![step]);
     world.run_for(60);
     assert_eq!(
         world.workers[at].running(),
--- a/tests/workflow/takeover.rs
+++ b/tests/workflow/takeover.rs
@@ -10,7 +10,7 @@
 #[test]
 fn active_runs_continue_after_a_takeover() {
     let mut world = World::new(3, true);
-    world.task_ms = 3_000;
+    world.task_ms = Some(3_000);
     world.run_for(100);
     world.submit(1, vec![step(6, 1_000)]);
     world.run_for(1_000);
@@ -24,7 +24,7 @@
 #[test]
 fn loaded_workflows_complete_if_the_configuration_arrives_after_the_takeover() {
     let mut world = World::new(2, true);
-    world.task_ms = 1_000;
+    world.task_ms = Some(1_000);
     world.run_for(100);
     world.submit(1, vec![step(30, 1_000)]);
     world.run_for(1_500);
@@ -40,7 +40,7 @@
 #[test]
 fn the_task_of_an_unreachable_worker_restarts_only_after_its_lease_has_expired() {
     let mut world = World::new(2, false);
-    world.task_ms = 60_000;
+    world.task_ms = Some(60_000);
     world.run_for(100);
     world.submit(1, vec![step(1, 500)]);
     world.run_for(1_000);
@@ -58,7 +58,7 @@
 #[test]
 fn an_incomplete_gang_is_stopped_and_restarted_after_a_takeover() {
     let mut world = World::new(3, false);
-    world.task_ms = 4_000;
+    world.task_ms = Some(4_000);
     world.run_for(100);
     let gang = StepSpec {
         gang: true,
@@ -183,7 +183,7 @@
 #[test]
 fn a_task_that_was_never_started_does_not_wait_for_an_unreachable_worker() {
     let mut world = World::new(2, false);
-    world.task_ms = 60_000;
+    world.task_ms = Some(60_000);
     world.run_for(100);
     world.submit(1, vec![step(1, 4_000)]);
     world.submit(2, vec![step(1, 4_000)]);
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -80,8 +80,12 @@
     /// The accepted start requests: time in milliseconds, task and run number.
     pub starts: Vec<(u64, TaskId, u32)>,
     pub queue: QueuePolicy,
-    /// The run time of tasks, in milliseconds.
-    pub task_ms: u64,
+    /// The run time of tasks, in milliseconds; their estimate if it is `None`.
+    pub task_ms: Option<u64>,
+    /// The percentage of workers that are eligible for a step, by the name of its queue.
+    pub eligible_percent: HashMap<QueueName, u64>,
+    /// When workflows were first seen as complete, in milliseconds.
+    pub completed: BTreeMap<u64, u64>,
     done: HashSet<TaskId>,
     scheduled: Vec<(u64, ScheduledEvent)>,
     epoch: u64,
@@ -133,7 +137,9 @@
             violations: Vec::new(),
             starts: Vec::new(),
             queue,
-            task_ms: 400,
+            task_ms: Some(400),
+            eligible_percent: HashMap::new(),
+            completed: BTreeMap::new(),
             done: HashSet::new(),
             scheduled: Vec::new(),
             epoch: 1,
@@ -279,7 +285,8 @@
                     .handle_stop_response(key, task, run, response, now);
             }
             ScheduledEvent::Permits(step, requested) => {
-                let granted = requested.iter().map(|worker| Permit {
+                let eligible = |worker: &&WorkerName| self.is_eligible(step, worker);
+                let granted = requested.iter().filter(eligible).map(|worker| Permit {
                     worker: worker.clone(),
                     token: format!("{step} {worker}"),
                 });
@@ -313,6 +320,9 @@
             self.progress.insert(*id, progress.clone());
         }
         for (id, state) in &batch.ended {
+            if *state == WorkflowState::Complete {
+                self.completed.insert(id.0, self.now_ms);
+            }
             self.records.insert(*id, WorkflowRecord::Ended(*state));
             self.progress.remove(id);
         }
@@ -395,9 +405,11 @@
         target: &WorkerTarget,
         request: &StartRequest,
     ) -> Option<Result<u64, ExecutorError>> {
-        let (now_ms, task_ms) = (self.now_ms, self.task_ms);
+        let now_ms = self.now_ms;
         let task = request.task;
-        let need = self.need_of(task);
+        let spec = self.spec_of(task);
+        let need = spec.need;
+        let task_ms = self.task_ms.unwrap_or(u64::from(spec.estimate_ms));
         let runs_elsewhere = self
             .workers
             .iter()
@@ -424,11 +436,30 @@
         Some(response)
     }
 
-    fn need_of(&self, task: TaskId) -> Resources {
+    fn spec_of(&self, task: TaskId) -> StepSpec {
         match self.records.get(&task.step.workflow) {
-            Some(WorkflowRecord::Active(spec)) => spec.steps[task.step.step as usize].need,
-            _ => Resources::default(),
+            Some(WorkflowRecord::Active(spec)) => spec.steps[task.step.step as usize].clone(),
+            _ => StepSpec::default(),
+        }
+    }
+
+    /// Whether the permit service grants a permit to the step for the worker. Its decisions do not
+    /// change.
+    fn is_eligible(&self, step: chestnutlug::workflow::StepId, worker: &WorkerName) -> bool {
+        let Some(WorkflowRecord::Active(spec)) = self.records.get(&step.workflow) else {
+            return true;
+        };
+        let percent = self.eligible_percent.get(&spec.queue.name);
+        let hash = xxhash_rust::xxh3::xxh3_64(format!("{step} {worker}").as_bytes());
+        percent.is_none_or(|percent| hash % 100 < *percent)
+    }
+
+    /// Gives each worker this capacity.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        for worker in &mut self.workers {
+            worker.listing.capacity = capacity;
         }
+        self.list_workers();
     }
 
     /// Records which tasks are done according to the committed progress; later starts of them are
