Refuse submissions at once while the store is down for every path of a VM

Cause: with the store down, a VM passed a submission to the owner, waited 0.8 s, and retried an inbox write until the caller's deadline.

--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -8,6 +8,7 @@
 use futures_util::future::join_all;
 use tokio::sync::oneshot;
 
+use super::availability::StoreAvailability;
 use super::cluster_view::ClusterView;
 use super::elector::OwnerElector;
 use super::event::{Event, OwnerRequest};
@@ -75,6 +76,7 @@
     electors: Arc<OwnerElectors>,
     outbox: Outbox,
     config: ArcSwap<Option<QueueConfig>>,
+    availability: Arc<StoreAvailability>,
     clock: Clock,
     metrics: Metrics,
 }
@@ -85,6 +87,7 @@
         peers: SharedPeerClient,
         cluster: Arc<ClusterView>,
         electors: Arc<OwnerElectors>,
+        availability: Arc<StoreAvailability>,
         clock: Clock,
         metrics: Metrics,
     ) -> Self {
@@ -95,6 +98,7 @@
             cluster,
             electors,
             config: ArcSwap::from_pointee(None),
+            availability,
             clock,
             metrics,
         }
@@ -166,6 +170,12 @@
             self.record_metrics(started_at, GatewayResponse::NotRun);
             return GatewayResponse::NotRun;
         };
+        if self.availability.refuses_submission(started_at) {
+            tracing::info!(request = %id, shard = shard.0,
+                "refusing a workflow submission at once because the store is down");
+            self.record_metrics(started_at, GatewayResponse::NotRun);
+            return GatewayResponse::NotRun;
+        }
         let request = WorkflowRequest::Submit {
             id,
             spec: spec.clone(),
@@ -222,9 +232,9 @@
         }
     }
 
-    /// Writes an inbox entry and retries until the deadline. If the store certainly did not apply the
-    /// write, the retries end early, unless an earlier try may have taken effect; a later failure does not
-    /// rule that out.
+    /// Writes an inbox entry and retries until the deadline. The retries end early while the store is
+    /// down, and if the store certainly did not apply the write, unless an earlier try may have taken
+    /// effect; a later failure does not rule that out.
     async fn write_to_inbox(
         &self,
         shard: ShardId,
@@ -244,7 +254,7 @@
             };
             outcome_unknown |= matches!(error, StoreError::Unknown(_));
             let now = self.now();
-            let until = if outcome_unknown {
+            let until = if outcome_unknown && !self.availability.is_down(now) {
                 deadline
             } else {
                 early_deadline
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 //! take over from it when it fails. A VM that cannot use the store relays its calls through another
 //! VM.
 
+pub mod availability;
 pub mod cluster_view;
 mod elector;
 mod event;
--- a/src/coordinator/node.rs
+++ b/src/coordinator/node.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::availability::StoreAvailability;
 use super::cluster_view::ClusterView;
 use super::elector::OwnerElector;
 use super::gateway::Gateway;
@@ -86,8 +87,14 @@
         };
         let cluster = Arc::new(ClusterView::new(local.clone(), settings.seeds.clone()));
         let peers = Arc::new(NngPeerClient::new(NO_SECRET));
-        let relayed =
-            RelayedRecordStore::new(ports.store.clone(), peers.clone(), cluster.clone(), clock);
+        let availability = Arc::new(StoreAvailability::default());
+        let relayed = RelayedRecordStore::new(
+            ports.store.clone(),
+            peers.clone(),
+            cluster.clone(),
+            clock,
+            availability.clone(),
+        );
         let store: SharedRecordStore = Arc::new(relayed);
         let feeds = (ports.feeds)(store.clone());
         let (queues_tx, queues) = watch::channel(Vec::new());
@@ -110,6 +117,7 @@
             peers,
             cluster.clone(),
             electors.clone(),
+            availability,
             clock,
             ports.metrics,
         );
--- a/src/coordinator/relay.rs
+++ b/src/coordinator/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use super::availability::StoreAvailability;
 use super::cluster_view::ClusterView;
 use super::message::{WorkflowReply, WorkflowRequest};
 use crate::message::{Reply, Request};
@@ -41,22 +42,26 @@
     peers: SharedPeerClient,
     cluster: Arc<ClusterView>,
     clock: Clock,
+    availability: Arc<StoreAvailability>,
     direct_access: Mutex<DirectAccess>,
 }
 
 impl RelayedRecordStore {
     /// Makes calls through `direct`, and relays them through the members of `cluster` while that fails.
+    /// Their results are recorded in `availability`.
     pub fn new(
         direct: SharedRecordStore,
         peers: SharedPeerClient,
         cluster: Arc<ClusterView>,
         clock: Clock,
+        availability: Arc<StoreAvailability>,
     ) -> Self {
         Self {
             direct,
             peers,
             cluster,
             clock,
+            availability,
             direct_access: Mutex::new(DirectAccess::Enabled),
         }
     }
@@ -169,6 +174,16 @@
         call: &'a StoreCall,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<StoreReply, StoreError>> {
-        Box::pin(self.call_or_relay(call, timeout))
+        Box::pin(async move {
+            let result = self.call_or_relay(call, timeout).await;
+            match &result {
+                Ok(_) => self.availability.record_success(),
+                // A read of a feed also fails when the store truncates its history.
+                Err(_) if matches!(call, StoreCall::Changes { .. }) => {}
+                Err(StoreError::Rejected(_)) => {}
+                Err(_) => self.availability.record_failure(self.clock.now()),
+            }
+            result
+        })
     }
 }
