Follow running urgent tasks only, and keep long-running tasks in their order

Long-running tasks, which never meet an objective, came after all others of their priority. Change: only running tasks count; long-running steps never count as late.

--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -47,7 +47,8 @@
     }
 
     /// Whether the workflow of the step will certainly miss its latency objective. Such a step waits
-    /// for those that can still meet theirs, unless someone waits for its result.
+    /// for those that can still meet theirs, unless someone waits for its result. Long-running tasks
+    /// have no end that could be late.
     fn misses_objective(&self, key: &ReadyKey, now: Time) -> bool {
         /// Tasks may run in this part of their estimate: estimates are off by up to a factor of two.
         const MIN_RUN_TIME_PERCENT: u32 = 50;
@@ -56,7 +57,10 @@
         }
         let active = self.active.get(&key.step.workflow);
         let spec = active.and_then(|active| active.spec.steps.get(key.step.step as usize));
-        let estimate = Duration::from_millis(spec.map_or(0, |spec| u64::from(spec.estimate_ms)));
+        let Some(spec) = spec.filter(|spec| !spec.long_running) else {
+            return false;
+        };
+        let estimate = Duration::from_millis(u64::from(spec.estimate_ms));
         now + estimate * MIN_RUN_TIME_PERCENT / 100 > key.deadline
     }
 
@@ -66,8 +70,7 @@
             return;
         }
         self.last_urgent_reserve = now;
-        let mut urgent = self.waiting_urgent_tasks();
-        let mut total = Resources::default();
+        let (mut urgent, mut total) = (Resources::default(), Resources::default());
         for (_, worker) in self.fleet.iter() {
             urgent = urgent.plus(worker.urgent());
             total = total.plus(&worker.listing.capacity);
@@ -85,18 +88,6 @@
         }
     }
 
-    /// The resources of the urgent tasks that wait to be placed.
-    fn waiting_urgent_tasks(&self) -> Resources {
-        let urgent = self.ready.iter();
-        let urgent = urgent.take_while(|key| key.priority == URGENT_PRIORITY);
-        urgent.fold(Resources::default(), |sum, key| {
-            let active = self.active.get(&key.step.workflow);
-            let spec = active.and_then(|active| active.spec.steps.get(key.step.step as usize));
-            let needed = spec.map(|spec| spec.reserved().times(spec.tasks));
-            sum.plus(&needed.unwrap_or_default())
-        })
-    }
-
     /// The maximum free capacity of a usable worker, separately for each resource. The free
     /// capacity only shrinks within a round, so that the result remains an upper bound.
     fn max_free_capacity(&self, now: Time) -> Resources {
