--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -70,7 +70,8 @@
             return;
         }
         self.last_urgent_reserve = now;
-        let (mut urgent, mut total) = (Resources::default(), Resources::default());
+        let mut urgent = self.urgent_tasks_without_room();
+        let mut total = Resources::default();
         for (_, worker) in self.fleet.iter() {
             urgent = urgent.plus(worker.urgent());
             total = total.plus(&worker.listing.capacity);
@@ -88,6 +89,30 @@
         }
     }
 
+    /// The resources of the urgent tasks that only lack room. Those that wait for their record or for a
+    /// permit would not start on free capacity either.
+    fn urgent_tasks_without_room(&self) -> Resources {
+        let urgent = self.ready.iter();
+        let urgent = urgent.take_while(|key| key.priority == URGENT_PRIORITY);
+        urgent.fold(Resources::default(), |sum, key| {
+            let step = key.step;
+            let active = self.active.get(&step.workflow);
+            let Some(active) = active.filter(|active| active.recorded) else {
+                return sum;
+            };
+            let state = active.steps.get(&(step.occurrence, step.step));
+            let spec = active.spec.steps.get(step.step as usize);
+            let (Some(state), Some(spec)) = (state, spec) else {
+                return sum;
+            };
+            if self.needs_permit(step) && state.permits.granted.is_empty() {
+                return sum;
+            }
+            let waiting = u32::try_from(state.waiting().count()).unwrap_or(u32::MAX);
+            sum.plus(&spec.reserved().times(waiting))
+        })
+    }
+
     /// The maximum free capacity of a usable worker, separately for each resource. The free
     /// capacity only shrinks within a round, so that the result remains an upper bound.
     fn max_free_capacity(&self, now: Time) -> Resources {
--- a/src/workflow/engine/reservation.rs
+++ b/src/workflow/engine/reservation.rs
@@ -16,7 +16,7 @@
 /// The part of the shard's processors, in percent, that is reserved before a further gang reserves
 /// any. Gangs that reserve at the same time share the capacity that becomes free, and leave it
 /// unused for longer than one after the other.
-const MAX_RESERVED_PERCENT: u64 = 8;
+const MAX_RESERVED_PERCENT: u64 = 15;
 
 /// A worker that is eligible for a gang.
 #[derive(Clone, Copy, Debug)]
--- a/src/workflow/urgent_reserve.rs
+++ b/src/workflow/urgent_reserve.rs
@@ -40,7 +40,7 @@
 }
 
 impl UrgentLoad {
-    /// Records the resources that urgent tasks use, out of `total`.
+    /// Records the resources that urgent tasks use or lack, out of `total`.
     pub fn record(&mut self, urgent: &Resources, total: &Resources, now: Time) {
         let half_lives = now.since(self.recorded_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let remembered = self.share * 0.5_f64.powf(half_lives);
--- a/tests/workflow/load.rs
+++ b/tests/workflow/load.rs
@@ -12,6 +12,10 @@
 /// How long the world runs on after that, in milliseconds.
 const DRAIN_MS: u64 = 30_000;
 
+/// The number of VMs that request permits for the shard. With a single one, the long request of a gang
+/// would delay those of urgent steps.
+const PERMIT_REQUESTERS: usize = 24;
+
 /// A kind of work: its queue, its step, and how often it is submitted.
 struct Kind {
     queue: QueuePolicy,
@@ -95,6 +99,7 @@
         accelerators: 0,
     });
     world.task_ms = None;
+    world.engine.set_permit_requesters(PERMIT_REQUESTERS);
     let queues = kinds.iter().map(|kind| kind.queue.clone());
     world.engine.set_queues(queues.collect());
     for kind in kinds {
