--- a/src/node/slots/takeover.rs
+++ b/src/node/slots/takeover.rs
@@ -72,15 +72,19 @@
     }
     let request = Request::HeldSlots { service, epoch };
     let call = slots.peers.call(holder.address, &request, REPLY_TIMEOUT);
-    let report = match call.await {
-        Ok(Reply::Held {
-            incarnation,
-            grants,
-        }) if incarnation == holder.incarnation => Some(HeldReport::Held(grants)),
-        // The process that may have held grants was replaced by a new one on the VM.
-        Ok(Reply::Held { .. }) => Some(HeldReport::Ended),
-        Ok(_) => None,
-        Err(_) => has_ended(&holder).await.then_some(HeldReport::Ended),
+    // The end of the process shows before a request to it times out.
+    let report = tokio::select! {
+        true = has_ended(&holder) => Some(HeldReport::Ended),
+        reply = call => match reply {
+            Ok(Reply::Held {
+                incarnation,
+                grants,
+            }) if incarnation == holder.incarnation => Some(HeldReport::Held(grants)),
+            // The process that may have held grants was replaced by a new one on the VM.
+            Ok(Reply::Held { .. }) => Some(HeldReport::Ended),
+            Ok(_) => None,
+            Err(_) => has_ended(&holder).await.then_some(HeldReport::Ended),
+        },
     };
     (holder.vm, report)
 }
