Log what a waiting step waits for

Operators could not tell why a gang does not start: logs name permit requests and starts, but not the workers that the gang may use. The line comes every 5 s per waiting step and tells unknown, eligible and permitted workers, the tasks that fit now and would fit on empty workers, and the tasks that are held back.

--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -62,6 +62,8 @@
     /// The highest run number of the step's tasks.
     pub(super) last_run: u32,
     pub(super) permits: StepPermits,
+    /// When a log line last told why the step waits, at first when the step began.
+    pub(super) wait_logged_at: Time,
 }
 
 impl StepState {
@@ -92,6 +94,7 @@
             progress,
             last_run,
             permits: StepPermits::default(),
+            wait_logged_at: now,
         }
     }
 
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod reservation;
 mod submission;
+mod wait_log;
 mod workers;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -149,6 +149,7 @@
         if self.needs_permit(id) {
             self.request_permits(id, &spec, now);
         }
+        self.log_waiting_step(id, &spec, now);
         if spec.gang && recorded {
             self.reserve_for_gang(id, &spec, now);
         }
