--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -1,5 +1,6 @@
 //! Simulations of the workflow engine in virtual time, with faults.
 
+mod gangs;
 mod lifecycle;
 mod load;
 mod takeover;
