Let gangs discover eligible workers until these hold the whole gang

Cause: as soon as half of a gang fitted on the workers that it knew as eligible, its permit requests only renewed permits for these, and with all of them valid there was none. A request names at most 100 workers, of which 0.35 are eligible, so that a gang that needs more than the 17 to 35 workers found was never told about the rest of its shard. Class: a search that stops on a sign of progress instead of on its goal.

Discovery names the unknown workers before those that are renewed along with it, so that each request makes progress, and a renewal of more workers than one request holds takes first those whose permits end first. Ruled out: more workers per request, which the service refuses.

--- a/src/workflow/engine/permits.rs
+++ b/src/workflow/engine/permits.rs
@@ -267,8 +267,9 @@
 }
 
 /// The workers to request permits for, for a gang of `tasks`. Permit requests for a gang take long.
-/// The first ones find out which workers are eligible, including busy ones. Later ones renew permits
-/// once the gang, which reserves capacity on its eligible workers, is likely to start soon.
+/// The first ones find out which workers are eligible, including busy ones, until these suffice. Later
+/// ones renew permits once the gang, which reserves capacity on its eligible workers, is likely to
+/// start soon.
 fn workers_to_request_for_gang(candidates: Vec<PermitCandidate>, tasks: u32) -> Vec<WorkerName> {
     /// A gang waits for its eligible workers if their total capacity, when empty, is at least this
     /// multiple of what it needs. Capacity for a gang becomes free in proportion to it.
@@ -276,35 +277,55 @@
     /// Permits are renewed once this part of the gang fits, as the rest of the capacity becomes free
     /// while the request is in flight.
     const RENEWAL_FITTING_PERCENT: u32 = 50;
+    let eligible = candidates.iter().filter(|worker| worker.eligible.is_some());
+    let eligible: Vec<&PermitCandidate> = eligible.collect();
+    let fitting: u32 = eligible.iter().map(|worker| worker.fitting).sum();
+    let fitting_when_empty: u32 = eligible
+        .iter()
+        .map(|worker| worker.fitting_when_empty)
+        .sum();
+    let knows_enough =
+        fitting >= tasks || fitting_when_empty >= tasks.saturating_mul(ELIGIBLE_CAPACITY_FACTOR);
+    if !knows_enough && eligible.len() < candidates.len() {
+        return workers_to_discover(&candidates);
+    }
+    if fitting.saturating_mul(100) >= tasks.saturating_mul(RENEWAL_FITTING_PERCENT) {
+        return workers_to_renew(&eligible, tasks);
+    }
+    Vec::new()
+}
+
+/// Workers whose eligibility is not known, then those on which tasks of the gang fit now.
+fn workers_to_discover(candidates: &[PermitCandidate]) -> Vec<WorkerName> {
+    let unknown = candidates.iter().filter(|worker| worker.eligible.is_none());
+    let fitting = candidates
+        .iter()
+        .filter(|worker| worker.eligible.is_some() && worker.fitting > 0);
+    let requested = unknown.chain(fitting).map(|worker| worker.name.clone());
+    requested.take(MAX_WORKERS_PER_REQUEST).collect()
+}
+
+/// The eligible workers whose permits a gang of `tasks` needs, if it does not have them all.
+fn workers_to_renew(eligible: &[&PermitCandidate], tasks: u32) -> Vec<WorkerName> {
     /// The capacity of the workers in a renewal, in percent of what the gang needs: urgent tasks take
     /// some of it before the response arrives.
     const RENEWED_CAPACITY_PERCENT: u32 = 200;
-    let eligible = || {
-        let eligible = candidates.iter();
-        eligible.filter(|worker| worker.eligible.is_some())
-    };
-    let fitting: u32 = eligible().map(|worker| worker.fitting).sum();
-    if fitting.saturating_mul(100) >= tasks.saturating_mul(RENEWAL_FITTING_PERCENT) {
-        let mut missing = tasks;
-        let mut wanted = eligible().take_while(|worker| take_capacity(&mut missing, worker));
-        if wanted.all(|worker| worker.permitted) {
-            return Vec::new();
-        }
-        let mut missing = tasks.saturating_mul(RENEWED_CAPACITY_PERCENT) / 100;
-        let renewed = eligible().take_while(|worker| take_capacity(&mut missing, worker));
-        let renewed = renewed.map(|worker| worker.name.clone());
-        return renewed.take(MAX_WORKERS_PER_REQUEST).collect();
-    }
-    let fitting_when_empty: u32 = eligible().map(|worker| worker.fitting_when_empty).sum();
-    let has_unknown = candidates.iter().any(|worker| worker.eligible.is_none());
-    if fitting_when_empty >= tasks.saturating_mul(ELIGIBLE_CAPACITY_FACTOR) || !has_unknown {
+    let mut missing = tasks;
+    let mut wanted = eligible
+        .iter()
+        .take_while(|worker| take_capacity(&mut missing, worker));
+    if wanted.all(|worker| worker.permitted) {
         return Vec::new();
     }
-    let requested = candidates
+    let mut missing = tasks.saturating_mul(RENEWED_CAPACITY_PERCENT) / 100;
+    let renewed = eligible
         .iter()
-        .filter(|worker| worker.eligible.is_none() || worker.fitting > 0);
-    let requested = requested.map(|worker| worker.name.clone());
-    requested.take(MAX_WORKERS_PER_REQUEST).collect()
+        .take_while(|worker| take_capacity(&mut missing, worker));
+    let mut renewed: Vec<&&PermitCandidate> = renewed.collect();
+    // One request may not cover all; those that expire first come first.
+    renewed.sort_by_key(|worker| worker.permitted);
+    let renewed = renewed.into_iter().take(MAX_WORKERS_PER_REQUEST);
+    renewed.map(|worker| worker.name.clone()).collect()
 }
 
 /// Takes the tasks that soon fit on `worker` from the `missing` ones; false if none was missing.
