Reserve no room for a gang that its eligible workers cannot hold

Callers would see LOST for a gang that could run: an older gang that needs more than the eligible workers of its shard hold, and so never starts there, reserved their free room in each placement round, and gangs behind it never fitted.

Evidence: the new test plays such a gang and one behind it that needs all workers; it failed on the first case before this change (the second gang stays queued for good on an idle shard) and passes with it. Change: a reservation is made only if the eligible workers would hold the gang when empty. The wide gang itself still waits; that no shard can hold it is a fault of its own.

--- a/src/workflow/engine/reservation.rs
+++ b/src/workflow/engine/reservation.rs
@@ -24,6 +24,8 @@
     key: WorkerKey,
     /// The number of the gang's tasks that fit now.
     fitting: u32,
+    /// The number that would fit if the worker were empty.
+    fitting_when_empty: u32,
     free: Resources,
 }
 
@@ -35,12 +37,17 @@
         }
     }
 
-    /// Reserves capacity for a gang that cannot start yet.
+    /// Reserves capacity for a gang that cannot start yet, unless its eligible workers would not hold
+    /// it even if they were empty.
     pub(super) fn reserve_for_gang(&mut self, id: StepId, spec: &StepSpec, now: Time) {
         if self.reserved_percent() >= MAX_RESERVED_PERCENT {
             return;
         }
         let workers = self.eligible_workers(id, spec, now);
+        let when_empty = workers.iter().map(|worker| worker.fitting_when_empty);
+        if when_empty.fold(0, u32::saturating_add) < spec.tasks {
+            return;
+        }
         for (key, reserved) in reservations(workers, &spec.reserved(), spec.tasks) {
             if let Some(worker) = self.fleet.get_mut(key) {
                 worker.reserve_for_gang(&reserved);
@@ -69,18 +76,19 @@
         let max = spec.max_per_worker.unwrap_or(u32::MAX).min(spec.tasks);
         let mut workers = Vec::new();
         for (key, worker) in self.fleet.iter() {
-            let is_eligible = || {
+            let has_eligibility = || {
                 let eligible = state.permits.eligibility.get(&worker.listing.name);
                 eligible.copied().unwrap_or(false)
             };
-            let is_candidate = worker.is_usable(now)
-                && (!needs_permit || is_eligible())
-                && self.matches_step(worker, id, spec)
-                && worker.fitting_tasks_when_empty(&spec.reserved(), max) > 0;
-            if is_candidate {
+            let is_eligible = worker.is_usable(now)
+                && (!needs_permit || has_eligibility())
+                && self.matches_step(worker, id, spec);
+            let fitting_when_empty = worker.fitting_tasks_when_empty(&spec.reserved(), max);
+            if is_eligible && fitting_when_empty > 0 {
                 workers.push(EligibleWorker {
                     key,
                     fitting: self.fitting_tasks(worker, spec, active.policy.priority, max),
+                    fitting_when_empty,
                     free: worker.free_capacity(),
                 });
             }
--- a/tests/workflow/gangs.rs
+++ b/tests/workflow/gangs.rs
@@ -72,3 +72,46 @@
     }
     assert!(stuck.is_empty(), "{stuck:#?}");
 }
+
+#[test]
+fn a_gang_that_fits_on_no_set_of_workers_holds_no_room_back_from_others() {
+    struct Case {
+        name: &'static str,
+        permits: bool,
+        /// The gang that cannot start, and one that needs all workers.
+        gangs: [StepSpec; 2],
+    }
+    let cases = [
+        Case {
+            name: "more tasks than workers",
+            permits: false,
+            gangs: [gang(30, 2_000, 40_000), gang(20, 2_000, 40_000)],
+        },
+        Case {
+            name: "more tasks than workers, with permits",
+            permits: true,
+            gangs: [gang(30, 2_000, 40_000), gang(20, 2_000, 40_000)],
+        },
+        Case {
+            name: "half a worker each",
+            permits: true,
+            gangs: [gang(45, 7_000, 4_000), gang(40, 8_000, 4_000)],
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(20, case.permits);
+        world.set_capacity(Resources {
+            cpu_milli: 16_000,
+            memory_mib: 64_000,
+            accelerators: 0,
+        });
+        world.run_for(100);
+        let [never, later] = case.gangs;
+        world.submit(1, vec![never]);
+        world.run_for(1_000);
+        world.submit(2, vec![later]);
+        world.run_for(COMPLETE_MS);
+        let state = world.state(2);
+        assert_eq!(state, Some(WorkflowState::Complete), "{}", case.name);
+    }
+}
