Share workflows out over shards in proportion to their workers

Callers saw SHORT: wide gangs of rota-rebuild were not served though the service had room.

Cause: shares of work and of capacity were drawn separately. Class: capacity that is split without regard to the split of the load.

Change: the record of the shards holds their numbers of workers, and a workflow's hash is mapped to these. Ruled out: an even assignment of workers by their order, which moves workers between owners whenever one joins.

--- a/src/coordinator/shards.rs
+++ b/src/coordinator/shards.rs
@@ -1,8 +1,8 @@
 //! The partition of workflows and workers into shards.
 //!
 //! A shard is a subset of the workflows together with a subset of the workers, and has its own owner.
-//! The number of shards is determined once, by the first VM that reads the list of workers, and recorded
-//! in the store.
+//! The number of shards, and the part of the workflows that each gets, are determined once, by the first
+//! VM that reads the list of workers, and recorded in the store.
 
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -27,7 +27,7 @@
 
 /// The maximum number of shards. Each costs the store a partition with its own transactions, and each VM
 /// a ping per interval.
-const MAX_SHARDS: u16 = 16;
+const MAX_SHARDS: usize = 16;
 
 /// The interval between two tries to determine the number of shards.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
@@ -50,28 +50,39 @@
 
 /// Assigns workflows and workers to shards.
 ///
+/// Workers are assigned by a hash of their names, which leaves shards of unequal size. Workflows are
+/// assigned in proportion to the number of workers.
+///
 /// # Examples
 ///
 /// ```
 /// use chestnutlug::coordinator::shards::ShardMap;
+/// use chestnutlug::model::WorkerName;
 ///
-/// let map = ShardMap::for_workers(350);
-/// assert_eq!(map.shards().count(), 2);
-/// assert_eq!(ShardMap::for_workers(48).shards().count(), 1);
+/// let workers: Vec<WorkerName> = (0..350).map(|i| WorkerName::new(format!("w{i}"))).collect();
+/// assert_eq!(ShardMap::for_workers(&workers).shards().count(), 2);
+/// assert_eq!(ShardMap::for_workers(&workers[..48]).shards().count(), 1);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardMap {
     count: u16,
+    /// The number of workers of each shard when the map was created.
+    workers: [u32; MAX_SHARDS],
 }
 
 impl ShardMap {
-    /// A map with the number of shards that `workers` workers need.
-    pub fn for_workers(workers: usize) -> Self {
-        let count = workers.div_ceil(WORKERS_PER_SHARD);
-        let count = u16::try_from(count).unwrap_or(MAX_SHARDS);
-        Self {
-            count: count.clamp(1, MAX_SHARDS),
+    /// A map with the number of shards that these workers need.
+    pub fn for_workers(names: &[WorkerName]) -> Self {
+        let count = names.len().div_ceil(WORKERS_PER_SHARD).clamp(1, MAX_SHARDS);
+        let mut map = Self {
+            count: u16::try_from(count).unwrap_or(1),
+            workers: [0; MAX_SHARDS],
+        };
+        for name in names {
+            let shard = map.of_worker(name);
+            map.workers[usize::from(shard.0)] += 1;
         }
+        map
     }
 
     /// All shards.
@@ -81,16 +92,22 @@
 
     /// The shard of a workflow.
     pub fn of_workflow(&self, id: WorkflowId) -> ShardId {
-        self.of(id.to_string().as_bytes())
+        let hash = xxh3_64(id.to_string().as_bytes());
+        let total: u64 = self.workers.iter().map(|count| u64::from(*count)).sum();
+        let mut position = hash.checked_rem(total).unwrap_or(0);
+        for (shard, workers) in self.shards().zip(self.workers) {
+            let workers = u64::from(workers);
+            if position < workers {
+                return shard;
+            }
+            position -= workers;
+        }
+        ShardId::default()
     }
 
     /// The shard of a worker.
     pub fn of_worker(&self, name: &WorkerName) -> ShardId {
-        self.of(name.as_str().as_bytes())
-    }
-
-    fn of(&self, key: &[u8]) -> ShardId {
-        let shard = xxh3_64(key) % u64::from(self.count.max(1));
+        let shard = xxh3_64(name.as_str().as_bytes()) % u64::from(self.count.max(1));
         // The remainder is less than `count`, so it fits into 16 bits.
         ShardId(u16::try_from(shard).unwrap_or(0))
     }
@@ -126,17 +143,19 @@
         return Ok(reader::decode(&record));
     }
     let listed = feeds.workers(None, Duration::ZERO).await?;
-    let listed = listed.items.iter();
-    let workers = listed
-        .filter(|change| matches!(change, WorkerChange::Listed(_)))
-        .count();
+    let listed = listed.items.iter().filter_map(|change| match change {
+        WorkerChange::Listed(listing) => Some(listing.name.clone()),
+        WorkerChange::Unlisted(_) => None,
+    });
+    let names: Vec<WorkerName> = listed.collect();
+    let workers = names.len();
     *empty_reads += u32::from(workers == 0);
     let complete = (workers > 0 && workers == *last_count) || *empty_reads >= MAX_EMPTY_READS;
     *last_count = workers;
     if !complete {
         return Ok(None);
     }
-    let map = ShardMap::for_workers(workers);
+    let map = ShardMap::for_workers(&names);
     let call = StoreCall::Commit(Transaction {
         expected: vec![(key.clone(), 0)],
         puts: vec![(key, encode(&map)?)],
