--- /dev/null
+++ b/tests/workflow/crashes.rs
@@ -0,0 +1,204 @@
+//! Tasks that crash each worker that starts them.
+
+use chestnutlug::workflow::StepSpec;
+use chestnutlug::workflow::record::WorkflowState;
+
+use crate::world::{World, step};
+
+/// The crashes after which a task is given up.
+const MAX_CRASHES: usize = 3;
+
+struct Case {
+    name: &'static str,
+    step: StepSpec,
+    keeps_name: bool,
+    /// The times of takeovers after the submission, in milliseconds.
+    takeovers_ms: &'static [u64],
+}
+
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_and_never_started_again() {
+    let gang = StepSpec {
+        gang: true,
+        ..step(3, 2_000)
+    };
+    let case = |name, step: &StepSpec, keeps_name, takeovers_ms| Case {
+        name,
+        step: step.clone(),
+        keeps_name,
+        takeovers_ms,
+    };
+    let cases = [
+        case("one task", &step(1, 500), false, &[]),
+        case("a worker that keeps its name", &step(1, 500), true, &[]),
+        case("many tasks", &step(12, 1_000), false, &[]),
+        case("a gang", &gang, false, &[]),
+        case(
+            "a takeover right after the crash",
+            &step(1, 500),
+            false,
+            &[60],
+        ),
+        case(
+            "a takeover once the worker is back",
+            &step(1, 500),
+            true,
+            &[4_000],
+        ),
+        case(
+            "takeovers in a row",
+            &step(2, 500),
+            false,
+            &[1_000, 7_000, 14_000],
+        ),
+        case("takeovers of a gang", &gang, true, &[100, 6_000]),
+    ];
+    for case in cases {
+        let mut world = World::new(6, true);
+        world.crashes.keeps_name = case.keeps_name;
+        world.make_deadly(1);
+        world.run_for(100);
+        world.submit(1, vec![case.step]);
+        let mut now_ms = 0;
+        for at in case.takeovers_ms {
+            world.run_for(at - now_ms);
+            now_ms = *at;
+            world.take_over(true);
+        }
+        world.run_for(60_000 - now_ms);
+        let starts = world.starts_of(1);
+        assert_eq!(starts.len(), MAX_CRASHES, "{}: {starts:?}", case.name);
+        assert_eq!(world.state(1), Some(WorkflowState::Failed), "{}", case.name);
+        world.take_over(true);
+        world.run_for(10_000);
+        assert_eq!(world.starts_of(1), starts, "{}", case.name);
+        assert!(
+            world.violations.is_empty(),
+            "{}: {:?}",
+            case.name,
+            world.violations
+        );
+    }
+}
+
+#[test]
+fn tasks_that_share_workers_with_deadly_ones_are_not_given_up() {
+    struct Case {
+        name: &'static str,
+        workers: u32,
+        /// Each `deadly_every`th workflow crashes its workers.
+        deadly_every: u64,
+        workflows: u64,
+        keeps_name: bool,
+    }
+    let case = |name, workers, deadly_every, workflows, keeps_name| Case {
+        name,
+        workers,
+        deadly_every,
+        workflows,
+        keeps_name,
+    };
+    let cases = [
+        case("a few", 8, 10, 60, false),
+        case("a few, workers keep their names", 8, 10, 60, true),
+        case("dozens at once", 24, 4, 120, false),
+        case("half of them", 24, 2, 60, false),
+    ];
+    for case in cases {
+        let mut world = World::new(case.workers, false);
+        world.crashes.keeps_name = case.keeps_name;
+        world.run_for(100);
+        for id in 0..case.workflows {
+            if id % case.deadly_every == 0 {
+                world.make_deadly(id);
+            }
+            world.submit(id, vec![step(2, 700)]);
+            if id % 10 == 9 {
+                world.run_for(100);
+            }
+        }
+        world.run_for(120_000);
+        for id in 0..case.workflows {
+            let is_deadly = id % case.deadly_every == 0;
+            let expected = if is_deadly {
+                WorkflowState::Failed
+            } else {
+                WorkflowState::Complete
+            };
+            assert_eq!(world.state(id), Some(expected), "{}: {id}", case.name);
+            let starts = world.starts_of(id);
+            assert!(
+                !is_deadly || starts.len() < MAX_CRASHES + 3,
+                "{}: {id} {starts:?}",
+                case.name
+            );
+        }
+        assert!(
+            world.violations.is_empty(),
+            "{}: {:?}",
+            case.name,
+            world.violations
+        );
+    }
+}
+
+#[test]
+fn crashes_and_cuts_of_workers_for_other_reasons_fail_no_workflow() {
+    struct Case {
+        name: &'static str,
+        crash: bool,
+        keeps_name: bool,
+    }
+    let cases = [
+        Case {
+            name: "crashes",
+            crash: true,
+            keeps_name: false,
+        },
+        Case {
+            name: "restarts",
+            crash: true,
+            keeps_name: true,
+        },
+        Case {
+            name: "cuts",
+            crash: false,
+            keeps_name: true,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(6, true);
+        world.crashes.keeps_name = case.keeps_name;
+        world.task_ms = Some(3_000);
+        world.run_for(100);
+        for round in 0..8 {
+            world.submit(2 * round, vec![step(6, 500)]);
+            let gang = StepSpec {
+                gang: true,
+                ..step(2, 1_000)
+            };
+            world.submit(2 * round + 1, vec![gang]);
+            world.run_for(900);
+            let index = usize::try_from(round).unwrap() % 6;
+            if case.crash {
+                world.crash_worker(index);
+                world.run_for(1_500);
+            } else {
+                world.workers[index].unreachable = true;
+                world.run_for(6_000);
+                world.workers[index].unreachable = false;
+            }
+        }
+        world.run_for(60_000);
+        for id in 0..16 {
+            let state = world.state(id);
+            assert_eq!(state, Some(WorkflowState::Complete), "{}: {id}", case.name);
+        }
+        assert!(
+            world.violations.is_empty(),
+            "{}: {:?}",
+            case.name,
+            world.violations
+        );
+    }
+}
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -1,5 +1,7 @@
 //! Simulations of the workflow engine in virtual time, with faults.
 
+mod crash_world;
+mod crashes;
 mod lifecycle;
 mod load;
 mod takeover;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -14,6 +14,8 @@
     TaskId, WorkerKey, WorkflowId, WorkflowSpec,
 };
 
+use crate::crash_world::Crashes;
+
 /// The latency of a message between the engine and a worker.
 const ONE_WAY_LATENCY_MS: u64 = 1;
 
@@ -49,6 +51,8 @@
     last_sequence: u64,
     /// Whether requests to the worker are lost.
     pub unreachable: bool,
+    /// Whether the worker process has crashed, so that connections to it are refused.
+    pub is_down: bool,
     /// How runs that start from now on will end.
     pub next_end: RunEnd,
 }
@@ -86,6 +90,8 @@
     pub eligible_percent: HashMap<QueueName, u64>,
     /// When workflows were first seen as complete, in milliseconds.
     pub completed: BTreeMap<u64, u64>,
+    /// Tasks that crash their workers, and what they did.
+    pub crashes: Crashes,
     done: HashSet<TaskId>,
     scheduled: Vec<(u64, ScheduledEvent)>,
     epoch: u64,
@@ -140,6 +146,7 @@
             task_ms: Some(400),
             eligible_percent: HashMap::new(),
             completed: BTreeMap::new(),
+            crashes: Crashes::default(),
             done: HashSet::new(),
             scheduled: Vec::new(),
             epoch: 1,
@@ -183,7 +190,7 @@
     /// Updates the engine from the platform's list of workers.
     pub fn list_workers(&mut self) {
         let now = self.now();
-        for worker in &self.workers {
+        for worker in self.workers.iter().filter(|worker| !worker.is_down) {
             self.engine.set_worker(worker.listing.clone(), now);
         }
     }
@@ -239,6 +246,7 @@
 
     fn advance(&mut self) {
         let now_ms = self.now_ms;
+        self.apply_due_crashes();
         for worker in &mut self.workers {
             worker.end_due_runs(now_ms);
         }
@@ -420,6 +428,7 @@
         let fits = worker.load().fits_in(&worker.listing.capacity);
         if response.is_ok() {
             self.starts.push((now_ms, task, request.run));
+            self.crashes.task_started(task, target, now_ms);
             if runs_elsewhere {
                 self.violations
                     .push(format!("{task} runs twice at {now_ms}"));
@@ -506,7 +515,7 @@
     }
 }
 
-fn fake_worker(index: u32) -> FakeWorker {
+pub fn fake_worker(index: u32) -> FakeWorker {
     FakeWorker {
         listing: WorkerListing {
             name: WorkerName::new(format!("w{index}")),
@@ -532,6 +541,7 @@
         ended: Vec::new(),
         last_sequence: 0,
         unreachable: false,
+        is_down: false,
         next_end: RunEnd::Done,
     }
 }
@@ -584,7 +594,16 @@
         });
     }
 
+    /// Ends the worker process, which loses its runs without reporting their ends.
+    pub fn crash(&mut self) {
+        self.is_down = true;
+        self.runs.clear();
+    }
+
     fn check_fencing_token(&mut self, target: &WorkerTarget) -> Result<(), ExecutorError> {
+        if self.is_down {
+            return Err(ExecutorError::NotSent("connection refused".to_owned()));
+        }
         if target.fencing_token < self.fencing_token {
             return Err(ExecutorError::Rejected(Rejection::Fenced));
         }
