Give a task up after three workers have crashed under it

Cause: only ends that a worker reports count against a task, and a crashed worker reports none. A run that is lost with its worker counted for nothing.

Change: a run that had lasted for less than 500 ms when its worker was last heard of counts as a crash of its task, once the worker's leases have expired or a newer process responds under its name. The same process responding later takes the count back: it was cut off. The count lies in the step's progress, with the process of each placed run, so that a new owner continues it; the format of records is 2 now. All recent runs on a crashed worker are blamed, as it is not known which of them is the cause. A blamed step has runs on probation on one worker at first, its blamed tasks before the others, and no other workflow starts on that worker for 500 ms. After three crashes the workflow fails. A start follows only after the last run is resolved, so that no count is open then.

--- a/src/port/executor.rs
+++ b/src/port/executor.rs
@@ -131,6 +131,16 @@
     pub ended: Vec<EndedRun>,
 }
 
+impl PollResponse {
+    /// Whether the worker names the run as active or ended.
+    pub fn names_run(&self, task: TaskId, run: u32) -> bool {
+        let mut active = self.running.iter();
+        let mut ended = self.ended.iter();
+        active.any(|active| active.task == Some(task) && active.run == run)
+            || ended.any(|ended| ended.task == Some(task) && ended.run == run)
+    }
+}
+
 /// Why a worker rejected a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Rejection {
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -27,9 +27,8 @@
     pub(super) checkpoint: Option<String>,
     /// The task is not placed before this time.
     pub(super) not_before: Time,
-    /// The worker on which an earlier owner may have started the task, until it is known what runs
-    /// there.
-    pub(super) unverified_worker: Option<WorkerName>,
+    /// The run that an earlier owner may have started, until it is known what runs on its worker.
+    pub(super) unverified: Option<PlacedRun>,
 }
 
 /// A permit that was granted to a step.
@@ -74,14 +73,14 @@
             },
             checkpoint: None,
             not_before: now,
-            unverified_worker: None,
+            unverified: None,
         };
         let mut tasks: Vec<TaskState> = (0..spec.tasks).map(task).collect();
         let mut last_run = 0;
         for placed in &progress.placed {
             last_run = last_run.max(placed.run);
             if let Some(task) = tasks.get_mut(placed.index as usize) {
-                task.unverified_worker = Some(placed.worker.clone());
+                task.unverified = Some(placed.clone());
             }
         }
         let remaining = tasks.iter().filter(|task| task.status != TaskStatus::Done);
@@ -99,6 +98,11 @@
         self.tasks.get_mut(index as usize)
     }
 
+    /// Whether a crash of a worker is blamed on a task of the step.
+    pub(super) fn is_blamed(&self) -> bool {
+        !self.progress.crashes.is_empty()
+    }
+
     /// The indexes of the waiting tasks.
     pub(super) fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
         let tasks = self.tasks.iter().enumerate();
@@ -241,24 +245,26 @@
         self.is_done().then_some(WorkflowState::Complete)
     }
 
-    /// The progress to store; `worker_name` looks up the names of workers.
+    /// The progress to store; `process` looks up the names and processes of workers.
     pub(super) fn progress(
         &self,
-        worker_name: impl Fn(WorkerKey) -> Option<WorkerName>,
+        process: impl Fn(WorkerKey) -> Option<(WorkerName, u64)>,
     ) -> WorkflowProgress {
         let steps = self.steps.iter().map(|(key, state)| {
             let placed = state
                 .placed()
                 .into_iter()
                 .filter_map(|(index, worker, run)| {
-                    let worker = worker_name(worker)?;
-                    Some(PlacedRun { index, run, worker })
+                    let (worker, boot) = process(worker)?;
+                    Some(PlacedRun {
+                        index,
+                        run,
+                        worker,
+                        boot,
+                    })
                 });
-            let unverified = state.tasks.iter().zip(0u32..).filter_map(|(task, index)| {
-                let worker = task.unverified_worker.clone()?;
-                let run = state.last_run;
-                Some(PlacedRun { index, run, worker })
-            });
+            let unverified = state.tasks.iter();
+            let unverified = unverified.filter_map(|task| task.unverified.clone());
             let placed = placed.chain(unverified).collect();
             let progress = state.progress.clone();
             (*key, StepProgress { placed, ..progress })
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -152,11 +152,8 @@
             match active.final_state() {
                 Some(state) => batch.ended.push((id, state)),
                 None => {
-                    let name = |key| {
-                        let worker = self.fleet.get(key);
-                        worker.map(|worker| worker.listing.name.clone())
-                    };
-                    batch.progress.push((id, active.progress(name)));
+                    let process = |key| Some(self.fleet.get(key)?.process());
+                    batch.progress.push((id, active.progress(process)));
                 }
             }
         }
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -8,6 +8,7 @@
 
 mod commit;
 mod completion;
+mod crashes;
 mod permits;
 mod place;
 mod polling;
@@ -129,6 +130,8 @@
     ended: HashMap<WorkflowId, WorkflowState>,
     ready: BTreeSet<ReadyKey>,
     recovery: Option<Recovery>,
+    /// The workers on which a crash may be blamed that did not happen.
+    crashed_workers: HashSet<WorkerName>,
     commit_queue: CommitQueue,
     /// The number of permit requests in flight.
     permit_requests_in_flight: usize,
@@ -165,6 +168,7 @@
             ended: HashMap::new(),
             ready: BTreeSet::new(),
             recovery: None,
+            crashed_workers: HashSet::new(),
             commit_queue: CommitQueue::default(),
             permit_requests_in_flight: 0,
             max_permit_requests: 1,
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -1,5 +1,6 @@
 //! Placement of waiting tasks on workers, the most urgent first.
 
+use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -18,12 +19,12 @@
 
 /// A worker that can run tasks of a step.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
+pub(super) struct Candidate {
     worker: WorkerKey,
     /// The number of tasks that fit.
     fitting: u32,
     /// Lower is better.
-    rank: Rank,
+    rank: (bool, Rank),
 }
 
 /// The rank of a worker for a step; lower is better.
@@ -166,9 +167,9 @@
         let all_waiting = state.waiting();
         let ready = all_waiting.filter(|index| {
             let task = &state.tasks[*index as usize];
-            task.not_before <= now && task.unverified_worker.is_none()
+            task.not_before <= now && task.unverified.is_none()
         });
-        let ready: Vec<u32> = ready.collect();
+        let mut ready: Vec<u32> = ready.collect();
         let waiting = state.waiting().count();
         if spec.gang && ready.len() < state.tasks.len() {
             return false;
@@ -181,6 +182,11 @@
         if spec.gang && spec.same_rack {
             candidates = self.restrict_to_one_rack(candidates, ready.len());
         }
+        if state.is_blamed() && !spec.gang {
+            // The tasks that are blamed go first, so that the others need no probation.
+            ready.sort_by_key(|index| Reverse(state.progress.crashes_of(*index).count()));
+            self.restrict_to_probation(id, state, &mut candidates);
+        }
         let workers = assign_workers(&candidates, ready.len());
         if workers.is_empty() || (spec.gang && workers.len() < ready.len()) {
             return false;
@@ -223,12 +229,16 @@
             if !worker.is_usable(now) || !self.matches_step(worker, id, spec) {
                 continue;
             }
+            if worker.is_on_probation_for_other(id.workflow, now) {
+                continue;
+            }
             let max = spec
                 .max_per_worker
                 .map_or(u32::MAX, |max| max.saturating_sub(state.count_on(key)));
             let fitting = self.fitting_tasks(worker, spec, priority, max.min(spec.tasks));
             if fitting > 0 {
-                let rank = rank(worker, spec, priority);
+                let would_share_blame = state.is_blamed() && worker.has_recent_start(now);
+                let rank = (would_share_blame, rank(worker, spec, priority));
                 candidates.push(Candidate {
                     worker: key,
                     fitting,
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -165,7 +165,7 @@
             return;
         }
         if response.boot > worker.listing.boot {
-            self.worker_restarted(key, response.boot, now);
+            self.worker_restarted(key, response, now);
         }
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
@@ -176,7 +176,7 @@
         worker.process_unconfirmed_since =
             worker.process_unconfirmed_since.filter(|at| *at > sent_at);
         let was_unresponsive = worker.is_unresponsive();
-        worker.record_response();
+        worker.record_response(now);
         worker.last_poll = sent_at;
         let processed = worker.processed_sequence;
         for ended in response
@@ -196,7 +196,8 @@
             worker.knows_fencing_token = true;
             self.placement_due = true;
         }
-        self.worker_recovered(key);
+        self.retract_crashes(key);
+        self.worker_recovered(key, now);
         self.schedule_next_poll(key, now);
         if was_unresponsive {
             // The poll that reached the worker carried no lease, so that the next one is due at
@@ -302,7 +303,7 @@
             return false;
         }
         task_state.status = TaskStatus::Placed(key, active_run.run);
-        task_state.unverified_worker = None;
+        task_state.unverified = None;
         task_state.checkpoint.clone_from(&active_run.checkpoint);
         state.last_run = state.last_run.max(active_run.run);
         active.started = true;
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -52,6 +52,9 @@
         };
         task_state.status = TaskStatus::Placed(key, run);
         let priority = active.policy.priority;
+        if state.is_blamed() {
+            worker.begin_probation(task.step.workflow, now);
+        }
         worker.reserve(
             task,
             ReservedRun {
@@ -99,6 +102,7 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return false;
         };
+        let is_blamed = state.is_blamed();
         let permit = state.permits.granted.get(&key);
         let permit =
             permit.filter(|permit| permit.expires_at > now && permit.boot == worker.listing.boot);
@@ -124,6 +128,10 @@
             reserved.state = RunState::Starting;
             reserved.started_at = now;
         }
+        worker.last_start = Some(now);
+        if is_blamed {
+            worker.begin_probation(task.step.workflow, now);
+        }
         let name = worker.listing.name.clone();
         tracing::info!(
             request = %task.step.workflow,
@@ -208,7 +216,7 @@
         };
         if let Ok(clock_ms) = response {
             worker.check_clock(clock_ms, now);
-            worker.record_response();
+            worker.record_response(now);
         }
         let name = worker.listing.name.clone();
         let reserved = worker
@@ -321,7 +329,7 @@
         match response {
             Ok(clock_ms) => {
                 worker.check_clock(clock_ms, now);
-                worker.record_response();
+                worker.record_response(now);
                 if let Some(reserved) = worker.runs.get_mut(&task)
                     && reserved.run == run
                     && let RunState::Stopping { response_at, .. } = &mut reserved.state
--- a/src/workflow/engine/submission.rs
+++ b/src/workflow/engine/submission.rs
@@ -6,7 +6,7 @@
 use crate::model::{Time, WorkerName};
 use crate::workflow::active::ActiveWorkflow;
 use crate::workflow::fleet::{WorkerKey, as_millis};
-use crate::workflow::record::{WorkflowProgress, WorkflowRecord, WorkflowState};
+use crate::workflow::record::{PlacedRun, WorkflowProgress, WorkflowRecord, WorkflowState};
 use crate::workflow::spec::{StepId, WorkflowId, WorkflowSpec};
 
 /// The margin added to the leases of earlier owners for slow worker clocks, in percent.
@@ -170,6 +170,9 @@
             active.recorded = true;
             active.cancelled = progress.cancelled;
             active.failed = progress.failed;
+            let crashes = progress.steps.iter().flat_map(|(_, step)| &step.crashes);
+            let workers = crashes.map(|crash| crash.worker.clone());
+            self.crashed_workers.extend(workers);
             if active.final_state().is_some() {
                 self.commit_queue.mark_changed(id);
             }
@@ -195,7 +198,7 @@
     }
 
     /// Marks the worker as recovered: all runs on it are known.
-    pub(super) fn worker_recovered(&mut self, key: WorkerKey) {
+    pub(super) fn worker_recovered(&mut self, key: WorkerKey, now: Time) {
         let Some(recovery) = &mut self.recovery else {
             return;
         };
@@ -203,21 +206,40 @@
             return;
         }
         if let Some(worker) = self.fleet.get(key) {
-            let name = worker.listing.name.clone();
-            self.clear_unverified(Some(&name));
+            let (name, boot) = worker.process();
+            self.clear_unverified(Some((&name, boot)), now);
             self.placement_due = true;
         }
     }
 
     /// Clears the mark of tasks that an earlier owner may have started on `worker`, or on any
-    /// worker if it is `None`: their runs are known by now or have ended.
-    fn clear_unverified(&mut self, worker: Option<&WorkerName>) {
-        let workflows = self.active.values_mut();
-        let steps = workflows.flat_map(|active| active.steps.values_mut());
-        for task in steps.flat_map(|state| state.tasks.iter_mut()) {
-            if worker.is_none() || task.unverified_worker.as_ref() == worker {
-                task.unverified_worker = None;
+    /// worker if it is `None`: their runs are known by now or have ended. Those of a process that
+    /// is gone or silent count as crashed.
+    fn clear_unverified(&mut self, worker: Option<(&WorkerName, u64)>, now: Time) {
+        let mut crashed = Vec::new();
+        for (id, active) in &mut self.active {
+            for ((occurrence, step), state) in &mut active.steps {
+                let step = StepId {
+                    workflow: *id,
+                    occurrence: *occurrence,
+                    step: *step,
+                };
+                let is_cleared =
+                    |run: &mut PlacedRun| worker.is_none_or(|(name, _)| run.worker == *name);
+                let tasks = state.tasks.iter_mut();
+                let cleared = tasks.filter_map(|task| task.unverified.take_if(is_cleared));
+                let gone = |run: &PlacedRun| worker.is_none_or(|(_, boot)| run.boot < boot);
+                crashed.extend(cleared.filter(gone).map(|run| (step, run)));
+            }
+        }
+        for (step, run) in crashed {
+            let worker = self.fleet.key(&run.worker);
+            let worker = worker.and_then(|key| self.fleet.get(key));
+            if worker.is_some_and(|worker| worker.listing.draining) {
+                // The worker has left and did not crash.
+                continue;
             }
+            self.add_crash(step, run, now);
         }
     }
 
@@ -235,7 +257,7 @@
             "recovery after takeover is complete; placing the tasks that do not run"
         );
         self.recovery = None;
-        self.clear_unverified(None);
+        self.clear_unverified(None, now);
         self.stop_incomplete_gangs(now);
         self.placement_due = true;
     }
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -4,9 +4,9 @@
 
 use super::Engine;
 use crate::model::{Time, WorkerName};
-use crate::port::executor::WorkerListing;
+use crate::port::executor::{PollResponse, WorkerListing};
+use crate::workflow::crash::LostRun;
 use crate::workflow::fleet::{Worker, WorkerKey};
-use crate::workflow::spec::TaskId;
 
 /// How long an unlisted worker without tasks is kept, so that its state survives an outage after
 /// which the platform lists it again within two seconds.
@@ -81,22 +81,28 @@
     }
 
     /// Handles a restart of the worker process; the runs of the old process are lost.
-    pub(super) fn worker_restarted(&mut self, key: WorkerKey, boot: u64, now: Time) {
+    pub(super) fn worker_restarted(&mut self, key: WorkerKey, response: &PollResponse, now: Time) {
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        let lost = worker.reset_for_process(boot, now);
+        let process = worker.process();
+        let lost = worker.reset_for_process(response.boot, now);
         tracing::info!(
             worker = %worker.listing.name,
-            boot,
+            boot = response.boot,
             lost = lost.len(),
             "worker process restarted; requeuing the tasks of its lost runs"
         );
+        // A start request may have reached the new process.
+        let is_on_new_process = |lost: &LostRun| response.names_run(lost.task, lost.run);
+        let mut crashed = lost.clone();
+        crashed.retain(|lost| !is_on_new_process(lost));
+        self.blame_crash(&process, &crashed, now);
         self.requeue_lost_runs(key, &lost, now);
     }
 
-    fn requeue_lost_runs(&mut self, key: WorkerKey, lost: &[TaskId], now: Time) {
-        for task in lost {
+    fn requeue_lost_runs(&mut self, key: WorkerKey, lost: &[LostRun], now: Time) {
+        for LostRun { task, .. } in lost {
             let on_worker = matches!(
                 self.task_status(*task),
                 Some(crate::workflow::active::TaskStatus::Placed(at, _)) if at == key
@@ -120,11 +126,13 @@
             };
             let expired = worker.is_unresponsive() && now > worker.lease_expires_at;
             if expired && !worker.runs.is_empty() {
-                let lost: Vec<TaskId> = worker.runs.keys().copied().collect();
-                for task in &lost {
-                    worker.release(*task);
-                }
+                let process = worker.process();
+                let lost = worker.take_lost_runs();
                 worker.knows_fencing_token = false;
+                // A worker that was about to leave has not crashed.
+                if !worker.listing.draining {
+                    self.blame_crash(&process, &lost, now);
+                }
                 self.requeue_lost_runs(key, &lost, now);
                 continue;
             }
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -5,8 +5,9 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use super::crash::{LostRun, PROBATION};
 use super::policy::URGENT_PRIORITY;
-use super::spec::TaskId;
+use super::spec::{TaskId, WorkflowId};
 use super::urgent_reserve::RESERVED_PERCENT;
 use crate::model::{Resources, Time, WorkerName};
 use crate::port::executor::WorkerListing;
@@ -113,6 +114,12 @@
     pub(super) last_poll: Time,
     /// When all leases that may have been granted have expired.
     pub(super) lease_expires_at: Time,
+    /// When the last response arrived.
+    last_response: Time,
+    /// When the last start request was sent.
+    pub(super) last_start: Option<Time>,
+    /// The workflow whose runs are on probation, and until when.
+    probation: Option<(WorkflowId, Time)>,
     clock: Option<ClockReading>,
     set_aside_until: Time,
     failed_requests: u32,
@@ -144,6 +151,9 @@
             next_poll: Some(now),
             last_poll: now,
             lease_expires_at: now,
+            last_response: now,
+            last_start: None,
+            probation: None,
             clock: None,
             set_aside_until: now,
             failed_requests: 0,
@@ -153,10 +163,9 @@
         }
     }
 
-    /// Resets the state for a new worker process, and returns the tasks of the runs lost with the
-    /// old one.
-    pub(super) fn reset_for_process(&mut self, boot: u64, now: Time) -> Vec<TaskId> {
-        let lost = self.runs.keys().copied().collect();
+    /// Resets the state for a new worker process, and returns the runs lost with the old one.
+    pub(super) fn reset_for_process(&mut self, boot: u64, now: Time) -> Vec<LostRun> {
+        let lost = self.take_lost_runs();
         let mut listing = self.listing.clone();
         listing.boot = boot;
         let (speed, successes) = (self.speed, self.successes);
@@ -167,6 +176,11 @@
         lost
     }
 
+    /// The name of the worker, and its process.
+    pub(super) fn process(&self) -> (WorkerName, u64) {
+        (self.listing.name.clone(), self.listing.boot)
+    }
+
     /// Whether new tasks may start on the worker.
     pub(super) fn is_usable(&self, now: Time) -> bool {
         self.listed
@@ -331,8 +345,50 @@
     }
 
     /// Resets the count of failed requests after a response.
-    pub(super) fn record_response(&mut self) {
+    pub(super) fn record_response(&mut self, now: Time) {
         self.failed_requests = 0;
+        self.last_response = self.last_response.max(now);
+    }
+
+    /// Releases all runs, which are lost.
+    pub(super) fn take_lost_runs(&mut self) -> Vec<LostRun> {
+        let runs: Vec<(TaskId, ReservedRun)> = self.runs.drain().collect();
+        self.reserved = Resources::default();
+        self.urgent = Resources::default();
+        let lost = runs.into_iter().map(|(task, reserved)| LostRun {
+            task,
+            run: reserved.run,
+            may_have_started: reserved.state != RunState::Assigned,
+            lasted: self.lasted(&reserved),
+        });
+        lost.collect()
+    }
+
+    /// How long the worker has responded after the start of the run.
+    pub(super) fn lasted(&self, run: &ReservedRun) -> Duration {
+        match run.state {
+            RunState::Assigned | RunState::Starting | RunState::OutcomeUnknown(_) => Duration::ZERO,
+            RunState::Running(_) | RunState::Stopping { .. } => {
+                self.last_response.since(run.started_at)
+            }
+        }
+    }
+
+    /// Begins the probation of a run of the workflow, during which no other workflow starts a task
+    /// on the worker.
+    pub(super) fn begin_probation(&mut self, workflow: WorkflowId, now: Time) {
+        self.probation = Some((workflow, now + PROBATION));
+    }
+
+    /// Whether a run of another workflow is on probation.
+    pub(super) fn is_on_probation_for_other(&self, workflow: WorkflowId, now: Time) -> bool {
+        self.probation
+            .is_some_and(|(on_probation, until)| on_probation != workflow && now < until)
+    }
+
+    /// Whether a crash now would be blamed on a run that started recently.
+    pub(super) fn has_recent_start(&self, now: Time) -> bool {
+        self.last_start.is_some_and(|at| now.since(at) < PROBATION)
     }
 
     /// Records a task failure, and sets the worker aside after several in a row.
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -4,6 +4,7 @@
 //! what callers submit.
 
 mod active;
+pub mod crash;
 mod engine;
 mod fleet;
 mod policy;
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -7,7 +7,7 @@
 use crate::model::WorkerName;
 
 /// The format version of the records; records of another version are rejected.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// The state of a workflow as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -50,6 +50,8 @@
     /// The runs that may be on workers. A start request is sent only after its run is committed
     /// here.
     pub placed: Vec<PlacedRun>,
+    /// The runs that are blamed for a crash of their worker.
+    pub crashes: Vec<PlacedRun>,
 }
 
 /// A run that may be on a worker.
@@ -61,6 +63,10 @@
     pub run: u32,
     /// The worker.
     pub worker: WorkerName,
+    /// The process of the worker, see [`WorkerListing::boot`].
+    ///
+    /// [`WorkerListing::boot`]: crate::port::executor::WorkerListing::boot
+    pub boot: u64,
 }
 
 /// The failed runs of a task.
@@ -105,6 +111,46 @@
         runs.push(run);
         u32::try_from(runs.len()).ok()
     }
+
+    /// Adds a run that is blamed for a crash of its worker and returns how many workers have crashed
+    /// under its task so far, or `None` if the run was counted before.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutlug::model::WorkerName;
+    /// use chestnutlug::workflow::record::{PlacedRun, StepProgress};
+    ///
+    /// let run = PlacedRun { index: 4, run: 1, worker: WorkerName::new("w1"), boot: 7 };
+    /// let mut progress = StepProgress::default();
+    /// assert_eq!(progress.add_crash(run.clone()), Some(1));
+    /// assert_eq!(progress.add_crash(run), None);
+    /// assert_eq!(progress.crashes_of(4).count(), 1);
+    /// ```
+    pub fn add_crash(&mut self, run: PlacedRun) -> Option<usize> {
+        let index = run.index;
+        if self.crashes_of(index).any(|crash| crash.run == run.run) {
+            return None;
+        }
+        self.crashes.push(run);
+        Some(self.crashes_of(index).count())
+    }
+
+    /// The crashes of workers that are blamed on the task.
+    pub fn crashes_of(&self, index: u32) -> impl Iterator<Item = &PlacedRun> {
+        self.crashes
+            .iter()
+            .filter(move |crash| crash.index == index)
+    }
+
+    /// Removes the crashes of a worker process that turned out to be alive; returns whether there
+    /// were any.
+    pub fn remove_crashes(&mut self, worker: &WorkerName, boot: u64) -> bool {
+        let before = self.crashes.len();
+        self.crashes
+            .retain(|crash| crash.worker != *worker || crash.boot != boot);
+        self.crashes.len() < before
+    }
 }
 
 /// The progress of a workflow. It has a record of its own, since it changes much more often than
--- a/tests/workflow/crashes.rs
+++ b/tests/workflow/crashes.rs
@@ -1,8 +1,12 @@
 //! Tasks that crash each worker that starts them.
 
+use std::time::Duration;
+
 use chestnutlug::workflow::StepSpec;
+use chestnutlug::workflow::crash::{LostRun, PROBATION, blamed, max_workers_on_probation};
 use chestnutlug::workflow::record::WorkflowState;
 
+use crate::crash_world::first_task;
 use crate::world::{World, step};
 
 /// The crashes after which a task is given up.
@@ -56,6 +60,7 @@
     for case in cases {
         let mut world = World::new(6, true);
         world.crashes.keeps_name = case.keeps_name;
+        world.task_ms = Some(100_000);
         world.make_deadly(1);
         world.run_for(100);
         world.submit(1, vec![case.step]);
@@ -202,3 +207,65 @@
         );
     }
 }
+
+#[test]
+fn a_task_is_not_given_up_for_workers_that_were_only_cut_off() {
+    let mut world = World::new(4, false);
+    world.task_ms = Some(20_000);
+    world.run_for(100);
+    world.submit(1, vec![step(1, 500)]);
+    for cuts in 1..=5 {
+        let mut waits = 0;
+        while world.starts.len() < cuts && waits < 2_000 {
+            world.run_for(5);
+            waits += 1;
+        }
+        let at = world.workers.iter().position(|worker| worker.running() > 0);
+        let at = at.unwrap();
+        world.workers[at].unreachable = true;
+        world.run_for(6_500);
+        world.workers[at].unreachable = false;
+    }
+    world.run_for(40_000);
+    assert_eq!(world.state(1), Some(WorkflowState::Complete));
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+#[test]
+fn only_runs_that_started_recently_are_blamed() {
+    struct Case {
+        name: &'static str,
+        may_have_started: bool,
+        lasted: Duration,
+        is_blamed: bool,
+    }
+    let case = |name, may_have_started, lasted, is_blamed| Case {
+        name,
+        may_have_started,
+        lasted,
+        is_blamed,
+    };
+    let cases = [
+        case("no response after the start", true, Duration::ZERO, true),
+        case("on probation", true, PROBATION / 2, true),
+        case("settled", true, PROBATION, false),
+        case("never started", false, Duration::ZERO, false),
+    ];
+    for case in cases {
+        let lost = LostRun {
+            task: first_task(1),
+            run: 1,
+            may_have_started: case.may_have_started,
+            lasted: case.lasted,
+        };
+        let found = blamed(&[lost]).next().is_some();
+        assert_eq!(found, case.is_blamed, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_blamed_step_widens_as_its_runs_settle() {
+    for (settled, workers) in [(0, 1), (1, 1), (2, 2), (12, 12)] {
+        assert_eq!(max_workers_on_probation(settled), workers, "{settled}");
+    }
+}
