--- a/src/workflow/engine/wait_log.rs
+++ b/src/workflow/engine/wait_log.rs
@@ -34,7 +34,7 @@
         state.wait_logged_at = now;
         let held_back = state.waiting().filter(|index| {
             let task = &state.tasks[*index as usize];
-            task.not_before > now || task.unverified_worker.is_some()
+            task.not_before > now || task.unverified.is_some()
         });
         let (held_back, waiting) = (held_back.count(), state.waiting().count());
         let placed = state.placed().len();
