Add tests of odd entries in the list of workers

What passes: nesting of 200,000 levels, numbers out of range, ports above 65535, other types, missing fields, unknown states and bytes that are no text make the worker of that key unlisted and nothing else.

--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -2,5 +2,6 @@
 
 mod lifecycle;
 mod load;
+mod odd_worker;
 mod takeover;
 mod world;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -38,7 +38,7 @@
 #[derive(Clone, Debug)]
 pub struct FakeWorker {
     pub listing: WorkerListing,
-    clock_offset: u64,
+    pub clock_offset: u64,
     /// When the worker process started; the worker's clock runs from then.
     started_ms: u64,
     fencing_token: u64,
@@ -538,7 +538,7 @@
 
 impl FakeWorker {
     fn clock(&self, now_ms: u64) -> u64 {
-        now_ms - self.started_ms + self.clock_offset
+        (now_ms - self.started_ms).saturating_add(self.clock_offset)
     }
 
     /// The resources used by the active runs.
