Parse each row of the store by itself, so that one unreadable row hides no others

Callers see tasks that wait although workers are ready (LOST): while one row of the list of workers cannot be read, no VM learns of workers that come, drain or leave, and no new owner gets the list.

Cause: a page of rows was parsed as a whole. A value that is no base64, a value of another type or a version that is no number of 64 bits made each read of the list fail, and each retry as well. Class of fault: one malformed item rejects its whole container. The same code reads the operators' table and the system's own tables.

Evidence: an_unreadable_row_does_not_hide_the_other_workers failed in six of its seven cases before, for example "the answer cannot be read: number out of range", and passes now.

Change: rows are kept as text and parsed one by one. A row that cannot be read becomes a record with its key and an empty value; a listing of that key is invalid and unlists that worker only. A row whose key cannot be read still fails the page: only the store writes keys.

--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -7,6 +7,7 @@
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
+use serde_json::value::RawValue;
 
 use super::http;
 use super::wire;
@@ -94,7 +95,7 @@
             }
             StatusCode::PRECONDITION_FAILED => {
                 let rows = decode(&response)?;
-                let records = records(rows.rows)?;
+                let records = records(&rows.rows)?;
                 Ok(StoreReply::Conflict { records })
             }
             status => Err(status_error(status, &response)),
@@ -113,7 +114,7 @@
                 Ok(StoreReply::Records {
                     truncated: rows.truncated,
                     version: rows.ver,
-                    records: records(rows.rows)?,
+                    records: records(&rows.rows)?,
                 })
             }
             StatusCode::GONE => Ok(StoreReply::HistoryGone),
@@ -143,16 +144,32 @@
     }
 }
 
-fn records(rows: Vec<wire::Row>) -> Result<Vec<Record>, StoreError> {
-    rows.into_iter().map(record).collect()
+fn records(rows: &[&RawValue]) -> Result<Vec<Record>, StoreError> {
+    rows.iter().map(|row| record(row)).collect()
 }
 
-fn record(row: wire::Row) -> Result<Record, StoreError> {
-    let invalid = |error: base64::DecodeError| {
-        StoreError::Rejected(format!("the value of {} is no base64: {error}", row.key))
+/// Converts a row. Other programs write to the store too: a row that cannot be read becomes a record
+/// with an empty value, which no format accepts, so that readers still learn whose row it is.
+fn record(text: &RawValue) -> Result<Record, StoreError> {
+    let unreadable = |error: &dyn std::fmt::Display| {
+        let row: wire::RowKey = serde_json::from_str(text.get()).map_err(malformed)?;
+        tracing::warn!(table = %row.table, key = %row.key, %error,
+            "cannot read a row of the store; passing it on with an empty value");
+        Ok(Record {
+            key: RecordKey::new(&row.table, &row.part, row.key),
+            value: Some(Vec::new()),
+            version: 0,
+        })
+    };
+    let row: wire::Row = match serde_json::from_str(text.get()) {
+        Ok(row) => row,
+        Err(error) => return unreadable(&error),
     };
     let value = match (&row.value, row.deleted) {
-        (Some(value), false) => Some(BASE64_STANDARD.decode(value).map_err(invalid)?),
+        (Some(value), false) => match BASE64_STANDARD.decode(value) {
+            Ok(value) => Some(value),
+            Err(error) => return unreadable(&error),
+        },
         _ => None,
     };
     Ok(Record {
@@ -162,9 +179,12 @@
     })
 }
 
-fn decode(response: &HttpResponse) -> Result<wire::Rows, StoreError> {
-    serde_json::from_slice(&response.body)
-        .map_err(|error| StoreError::Unknown(format!("the answer cannot be read: {error}")))
+fn decode(response: &HttpResponse) -> Result<wire::Rows<'_>, StoreError> {
+    serde_json::from_slice(&response.body).map_err(malformed)
+}
+
+fn malformed(error: serde_json::Error) -> StoreError {
+    StoreError::Unknown(format!("the answer cannot be read: {error}"))
 }
 
 fn call_error(error: HttpError) -> StoreError {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies of the platform's interfaces, with the wire's names.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// A row of the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -23,6 +24,19 @@
     pub(super) deleted: bool,
 }
 
+/// The key of a row whose other members cannot be read.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RowKey {
+    #[serde(default)]
+    pub(super) table: String,
+    /// The partition; in lower case on the wire.
+    #[serde(rename = "part", default)]
+    pub(super) part: String,
+    #[serde(default)]
+    pub(super) key: String,
+}
+
 /// A transaction.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "PascalCase")]
@@ -36,9 +50,11 @@
 /// A response with rows.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct Rows {
-    #[serde(rename = "rows", default)]
-    pub(super) rows: Vec<Row>,
+pub(super) struct Rows<'a> {
+    /// The text of each row, which is parsed by itself, so that one malformed row does not hide the
+    /// others.
+    #[serde(rename = "rows", default, borrow)]
+    pub(super) rows: Vec<&'a RawValue>,
     #[serde(default)]
     pub(super) truncated: bool,
     /// The latest version of the whole store.
