Treat a listing whose address has port 0 as invalid

Callers see nothing; operators saw a worker added that could never respond, polled each second, in the records of the shard and in the count of workers that decides the number of shards.

Cause: 0 is a valid port for the parser of addresses, though nothing can be reached there. Class of fault: a value that is well-formed and out of range. Ports above 65535 were invalid already.

Evidence: the case "port 0" of an_unreadable_entry_does_not_hide_the_other_workers failed before, the worker was listed; all 27 cases pass now.

--- a/src/platform/listing.rs
+++ b/src/platform/listing.rs
@@ -1,5 +1,7 @@
 //! The listings that workers write to the platform's store.
 
+use std::net::SocketAddr;
+
 use super::wire;
 use crate::model::{Resources, ServiceName, WorkerName, ZoneName};
 use crate::port::executor::WorkerListing;
@@ -11,6 +13,8 @@
     Malformed(#[from] serde_json::Error),
     #[error("the address cannot be read: {0}")]
     Address(#[from] std::net::AddrParseError),
+    #[error("the address has port 0: {0}")]
+    Port(SocketAddr),
     #[error("the state is not known: {0}")]
     State(String),
 }
@@ -23,9 +27,13 @@
         "draining" => true,
         state => return Err(ListingError::State(state.to_owned())),
     };
+    let address: SocketAddr = server.addr.parse()?;
+    if address.port() == 0 {
+        return Err(ListingError::Port(address));
+    }
     Ok(WorkerListing {
         name: WorkerName::new(id),
-        address: server.addr.parse()?,
+        address,
         service: ServiceName::new(&server.service),
         zone: ZoneName::new(&server.zone),
         rack: server.labels.get(1).cloned(),
