Let the list correct the start time of a worker that has not responded yet

Callers see tasks that wait although a worker is ready: an owner that first reads a listing of it with a start time that is too high, as another writer may leave under its id, never uses the worker.

Cause: the engine takes the start time of the first listing as that of the process. Later listings and all poll responses have a lower one and are ignored as those of an earlier process, until the next owner. Class of fault: a value of an untrusted source kept as a bound that only rises.

Evidence: the case "highest start time", first, of a_wrong_listing_does_not_hide_its_worker_once_it_is_corrected failed before (the workflow stayed queued) and passes now, as do listings with start time 0, the address of another server and the highest capacity, read before or after the good one.

Change: until a poll response has named the process, a listing replaces the start time in both directions. No task is on such a worker, since tasks start and are adopted only after a poll response. After that only the worker's own responses change it, as before.

--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -170,6 +170,7 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
+        worker.process_confirmed = true;
         worker.update_clock(response.clock_ms, now);
         // The response names its process, which confirms the process unless an indication of
         // another one is newer than the poll.
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -25,7 +25,7 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        if listing.boot < worker.listing.boot {
+        if listing.boot < worker.listing.boot && worker.process_confirmed {
             return;
         }
         if listing.draining != worker.listing.draining {
@@ -34,11 +34,14 @@
         }
         let address_changed = listing.address != worker.listing.address;
         let restarted = listing.boot > worker.listing.boot;
-        worker.listed = true;
-        worker.listing = WorkerListing {
-            boot: worker.listing.boot,
-            ..listing
+        // Only the worker itself tells which process runs; until it has, the list may be corrected.
+        let boot = if worker.process_confirmed {
+            worker.listing.boot
+        } else {
+            listing.boot
         };
+        worker.listed = true;
+        worker.listing = WorkerListing { boot, ..listing };
         if address_changed {
             self.commit_queue.workers_changed();
         }
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -104,6 +104,9 @@
     pub(super) processed_sequence: u64,
     /// The sequence number up to which the effects of all ended runs are committed.
     pub(super) committed_sequence: u64,
+    /// Whether a poll response has named the worker process in `listing`. Until then, its start time is
+    /// only what the platform's list says.
+    pub(super) process_confirmed: bool,
     /// When a response or the platform's list indicated a new worker process, until a later poll
     /// confirms the process. A new process numbers its ended runs anew.
     pub(super) process_unconfirmed_since: Option<Time>,
@@ -139,6 +142,7 @@
             unknown_runs: 0,
             processed_sequence: 0,
             committed_sequence: 0,
+            process_confirmed: false,
             process_unconfirmed_since: None,
             poll_in_flight: false,
             next_poll: Some(now),
