Saturate the arithmetic on clocks that workers report

A worker whose clock is near the highest 64-bit number stops the actor of its shard's owner in builds with overflow checks, such as those of the tests.

Cause: the expected clock and the end of a lease were added without a check. Class of fault: unchecked arithmetic on a number from outside.

Evidence: a_worker_clock_near_its_highest_value_does_not_stop_the_engine panicked in fleet.rs ("attempt to add with overflow") before. Now the work is done, on the other worker where that clock leaves no lease.

--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -264,8 +264,11 @@
         };
         let elapsed = as_millis(now.since(reading.read_at));
         let earliest = self.earliest_clock_ms(now).unwrap_or(0);
-        let is_behind = worker_ms + CLOCK_TOLERANCE_MS < earliest;
-        let is_ahead = worker_ms > reading.worker_ms + elapsed + CLOCK_TOLERANCE_MS;
+        let latest = reading
+            .worker_ms
+            .saturating_add(elapsed + CLOCK_TOLERANCE_MS);
+        let is_behind = worker_ms.saturating_add(CLOCK_TOLERANCE_MS) < earliest;
+        let is_ahead = worker_ms > latest;
         if is_behind || is_ahead {
             tracing::info!(worker = %self.listing.name, worker_ms, expected_ms = earliest,
                 "worker clock jumped, its process may have restarted; next poll renews no lease");
@@ -306,13 +309,14 @@
     fn earliest_clock_ms(&self, now: Time) -> Option<u64> {
         let reading = self.clock?;
         let elapsed = as_millis(now.since(reading.read_at));
-        Some(reading.worker_ms + elapsed - elapsed * MAX_CLOCK_DRIFT_PERCENT / 100)
+        let counted = elapsed - elapsed * MAX_CLOCK_DRIFT_PERCENT / 100;
+        Some(reading.worker_ms.saturating_add(counted))
     }
 
     /// Grants a lease of `lease_ms` from `now`. Returns its end on the worker's clock, or `None`
     /// while that clock is not known, and records when the lease has certainly expired.
     pub(super) fn grant_lease(&mut self, lease_ms: u64, now: Time) -> Option<u64> {
-        let until_ms = self.earliest_clock_ms(now)? + lease_ms;
+        let until_ms = self.earliest_clock_ms(now)?.saturating_add(lease_ms);
         let reading = self.clock?;
         let span_ms = until_ms.saturating_sub(reading.worker_ms);
         let max_ms = span_ms + span_ms * MAX_CLOCK_DRIFT_PERCENT / (100 - MAX_CLOCK_DRIFT_PERCENT);
