Add tests of long entries, extreme policies and odd configuration rows

Two pass as guards: a configuration that cannot be read is skipped and later ones are followed, and a worker id that is no valid header value fails only the requests to that worker.

--- a/tests/worker_feed.rs
+++ b/tests/worker_feed.rs
@@ -8,7 +8,9 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use chestnutlug::adapter::http::{ResponseBody, ResponseDropped, ServerLimits, full_body, serve};
-use chestnutlug::platform::{PlatformFeeds, PlatformRecordStore};
+use chestnutlug::model::WorkerName;
+use chestnutlug::platform::{HttpExecutors, PlatformFeeds, PlatformRecordStore};
+use chestnutlug::port::executor::{ExecutorError, Executors, PollRequest, WorkerTarget};
 use chestnutlug::port::feeds::{FeedUpdate, Feeds, WorkerChange};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -328,6 +330,22 @@
         field("unknown state", "State", "\"lost\""),
         field("service of another type", "Service", "null"),
         field("labels of another type", "Labels", "[1]"),
+        field(
+            "long label",
+            "Labels",
+            json!(["k".repeat(40_000)]).to_string(),
+        ),
+        field(
+            "many labels",
+            "Labels",
+            json!(vec!["k"; 10_000]).to_string(),
+        ),
+        field(
+            "long service",
+            "Service",
+            json!("s".repeat(40_000)).to_string(),
+        ),
+        field("long zone", "Zone", json!("z".repeat(40_000)).to_string()),
     ];
     let missing = ["Service", "Addr", "Zone", "State", "Capacity"];
     cases.extend(missing.map(|name| case(name, Entry::Without(name))));
@@ -356,3 +374,53 @@
     ];
     play_all(keys.map(key).into()).await;
 }
+
+#[tokio::test]
+async fn an_unreadable_configuration_is_skipped_and_later_ones_are_read() {
+    let good = json!({"Version": 7, "Routes": []}).to_string();
+    let cases = [
+        bytes("no bytes", ""),
+        bytes("nested lists", nested("[", "]")),
+        bytes(
+            "nested routes",
+            format!("{{\"Version\":6,\"Routes\":{}}}", nested("[", "]")),
+        ),
+        bytes("version beyond a float", "{\"Version\":1e999}"),
+        row("value that is no base64", "\"Value\":\"!\""),
+        row("nested value", format!("\"Value\":{}", nested("[", "]"))),
+    ];
+    for case in cases {
+        let store = Store::start().await;
+        let feeds = PlatformFeeds::new(Arc::new(PlatformRecordStore::new(store.address)));
+        store.put("config", &case.entry.members());
+        let update = feeds.configurations(None, Duration::ZERO).await;
+        let update = update.unwrap_or_else(|error| panic!("{}: {error}", case.name));
+        assert!(update.items.is_empty(), "{}", case.name);
+        store.put("config", &value_member(good.as_bytes()));
+        let update = feeds
+            .configurations(Some(update.version), Duration::ZERO)
+            .await;
+        let update = update.unwrap_or_else(|error| panic!("{}: {error}", case.name));
+        let versions: Vec<u64> = update.items.iter().map(|config| config.version).collect();
+        assert_eq!(versions, [7], "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn a_worker_id_that_is_no_header_value_fails_only_its_own_requests() {
+    let request = PollRequest {
+        acknowledged: 0,
+        lease_until_ms: None,
+        wait_ms: 0,
+    };
+    for name in ["a\nb", "a\rb", "a\0b", "a\u{7f}b"] {
+        let target = WorkerTarget {
+            name: WorkerName::new(name),
+            address: ([127, 0, 0, 1], 9).into(),
+            fencing_token: 1,
+        };
+        let result = HttpExecutors::default().poll(&target, &request).await;
+        let not_sent = matches!(result, Err(ExecutorError::NotSent(_)));
+        assert!(not_sent, "{name:?}: {result:?}");
+    }
+}
--- a/tests/workflow/odd_worker.rs
+++ b/tests/workflow/odd_worker.rs
@@ -1,11 +1,11 @@
-//! Listings and clocks with values that no worker sends.
+//! Listings, clocks and policies with values that no worker or operator sends on purpose.
 
 use std::net::SocketAddr;
 
 use chestnutlug::port::executor::WorkerListing;
 use chestnutlug::workflow::record::WorkflowState;
 
-use crate::world::{World, step};
+use crate::world::{World, queue, step};
 
 struct Case {
     name: &'static str,
@@ -79,3 +79,23 @@
         assert_eq!(state, Some(WorkflowState::Complete), "{context}");
     }
 }
+
+#[test]
+fn a_policy_with_extreme_numbers_does_not_stop_the_engine() {
+    for number in [f64::MAX, -f64::MAX, f64::NAN, 1e30, 0.0] {
+        for permits in [false, true] {
+            let mut world = World::new(1, permits);
+            let mut policy = queue(permits);
+            policy.slack_factor = number;
+            policy.slo_ms = number as u64;
+            if let Some(latency) = &mut policy.permits {
+                (latency.base_ms, latency.per_worker_ms) = (number, number);
+            }
+            world.engine.set_queues(vec![policy.clone()]);
+            world.queue = policy;
+            world.submit(1, vec![step(1, 500)]);
+            world.run_for(3_000);
+            assert!(world.state(1).is_some(), "{number}, permits: {permits}");
+        }
+    }
+}
