Saturate durations that are computed from the policy of a queue

A queue with a slack factor or a permit time of extreme size makes the engine panic, which would end the actor of each owner that plans its work; callers would find no owner. The platform's store accepts only valid configurations.

Cause: conversions of floating-point seconds to durations panic out of range, also in release builds. Class of fault: a number from outside in a conversion that panics.

Evidence: a_policy_with_extreme_numbers_does_not_stop_the_engine panicked in policy.rs ("cannot convert float seconds to Duration") before and passes now.

Change: such conversions give the nearest duration, and the expected time of a permit request is at most an hour, since timeouts are derived from it.

--- a/src/workflow/policy.rs
+++ b/src/workflow/policy.rs
@@ -9,6 +9,9 @@
 /// The priority of urgent queues, whose results someone waits for.
 pub(super) const URGENT_PRIORITY: u8 = 0;
 
+/// The maximum expected response time of a permit request, so that timeouts derived from it cannot overflow.
+const MAX_ESTIMATE: Duration = Duration::from_secs(3_600);
+
 /// The expected response time of the permit service.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitLatency {
@@ -23,7 +26,7 @@
     pub fn estimate(&self, workers: usize) -> Duration {
         let workers = u32::try_from(workers).unwrap_or(u32::MAX);
         let ms = self.base_ms + self.per_worker_ms * f64::from(workers);
-        Duration::from_secs_f64((ms / 1_000.0).max(0.0))
+        duration_of_secs(ms / 1_000.0).min(MAX_ESTIMATE)
     }
 }
 
@@ -49,11 +52,18 @@
 impl QueuePolicy {
     /// How long a workflow may take whose critical path is estimated at `critical_path_ms`.
     pub fn latency_objective(&self, critical_path_ms: u64) -> Duration {
-        let relative = Duration::from_millis(critical_path_ms).mul_f64(self.slack_factor.max(0.0));
-        relative + Duration::from_millis(self.slo_ms)
+        let critical_path = Duration::from_millis(critical_path_ms);
+        let relative = duration_of_secs(critical_path.as_secs_f64() * self.slack_factor);
+        relative.saturating_add(Duration::from_millis(self.slo_ms))
     }
 }
 
+/// A number of seconds as a duration; zero if it is negative or no number, and the longest duration if it
+/// is too large.
+fn duration_of_secs(secs: f64) -> Duration {
+    Duration::try_from_secs_f64(secs.max(0.0)).unwrap_or(Duration::MAX)
+}
+
 /// The platform limits that the engine observes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineConfig {
