--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -5,5 +5,6 @@
 mod gangs;
 mod lifecycle;
 mod load;
+mod odd_worker;
 mod takeover;
 mod world;
