--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -7,4 +7,5 @@
 mod load;
 mod odd_worker;
 mod takeover;
+mod waiting;
 mod world;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -557,6 +557,13 @@
         needs.fold(Resources::default(), |sum, need| sum.plus(&need))
     }
 
+    /// Lets all active runs end at this time.
+    pub fn end_runs_at(&mut self, at_ms: u64) {
+        for run in self.runs.values_mut() {
+            run.ends_at = Some(at_ms);
+        }
+    }
+
     pub fn running(&self) -> usize {
         self.runs.len()
     }
