Let gangs discover all workers until they fit

Callers would see LOST: a gang of few tasks, whose first permit request named busy workers only, waited beside idle workers.

The cost is one request more for small gangs that do not fit at once; wide gangs did not meet the exit.

--- a/src/workflow/engine/permits.rs
+++ b/src/workflow/engine/permits.rs
@@ -47,8 +47,6 @@
     /// The number of the step's tasks that fit now.
     fitting: u32,
     free_cpu_milli: u32,
-    /// The number of the step's tasks that would fit if the worker were empty.
-    fitting_when_empty: u32,
 }
 
 impl PermitCandidate<'_> {
@@ -145,7 +143,6 @@
                 permitted,
                 fitting,
                 free_cpu_milli: worker.free_capacity().cpu_milli,
-                fitting_when_empty,
             });
         }
         candidates.sort_by_key(|worker| std::cmp::Reverse((worker.fitting, worker.free_cpu_milli)));
@@ -267,26 +264,17 @@
 }
 
 /// The workers to request permits for, for a gang of `tasks`. Permit requests for a gang take long.
-/// The first ones find out which workers are eligible, including busy ones, until these suffice. Later
+/// The first ones find out which workers are eligible, including busy ones, until the gang fits. Later
 /// ones renew permits once the gang, which reserves capacity on its eligible workers, is likely to
 /// start soon.
 fn workers_to_request_for_gang(candidates: Vec<PermitCandidate>, tasks: u32) -> Vec<WorkerName> {
-    /// A gang waits for its eligible workers if their total capacity, when empty, is at least this
-    /// multiple of what it needs. Capacity for a gang becomes free in proportion to it.
-    const ELIGIBLE_CAPACITY_FACTOR: u32 = 8;
     /// Permits are renewed once this part of the gang fits, as the rest of the capacity becomes free
     /// while the request is in flight.
     const RENEWAL_FITTING_PERCENT: u32 = 50;
     let eligible = candidates.iter().filter(|worker| worker.eligible.is_some());
     let eligible: Vec<&PermitCandidate> = eligible.collect();
     let fitting: u32 = eligible.iter().map(|worker| worker.fitting).sum();
-    let fitting_when_empty: u32 = eligible
-        .iter()
-        .map(|worker| worker.fitting_when_empty)
-        .sum();
-    let knows_enough =
-        fitting >= tasks || fitting_when_empty >= tasks.saturating_mul(ELIGIBLE_CAPACITY_FACTOR);
-    if !knows_enough && eligible.len() < candidates.len() {
+    if fitting < tasks && eligible.len() < candidates.len() {
         return workers_to_discover(&candidates);
     }
     if fitting.saturating_mul(100) >= tasks.saturating_mul(RENEWAL_FITTING_PERCENT) {
