Renew no permits for a gang that its eligible workers cannot hold

Callers would see LOST or late work on deployments with few VMs: gangs that never fit renewed the permits of all their eligible workers without end, in the order of their age, and used up the requests in flight, so that a later gang that fits sent none. Class: a claim without a check that it can succeed.

Evidence: the test was red and passes. Change: with all workers known and too little room on empty eligible ones, no request is sent. Such a gang sends requests again once a worker is added that is unknown to it.

--- a/src/workflow/engine/permits.rs
+++ b/src/workflow/engine/permits.rs
@@ -47,6 +47,8 @@
     /// The number of the step's tasks that fit now.
     fitting: u32,
     free_cpu_milli: u32,
+    /// The number of the step's tasks that would fit if the worker were empty.
+    fitting_when_empty: u32,
 }
 
 impl PermitCandidate<'_> {
@@ -143,6 +145,7 @@
                 permitted,
                 fitting,
                 free_cpu_milli: worker.free_capacity().cpu_milli,
+                fitting_when_empty,
             });
         }
         candidates.sort_by_key(|worker| std::cmp::Reverse((worker.fitting, worker.free_cpu_milli)));
@@ -273,10 +276,15 @@
     const RENEWAL_FITTING_PERCENT: u32 = 50;
     let eligible = candidates.iter().filter(|worker| worker.eligible.is_some());
     let eligible: Vec<&PermitCandidate> = eligible.collect();
-    let fitting: u32 = eligible.iter().map(|worker| worker.fitting).sum();
+    let fitting = eligible.iter().map(|worker| worker.fitting);
+    let fitting = fitting.fold(0, u32::saturating_add);
     if fitting < tasks && eligible.len() < candidates.len() {
         return workers_to_discover(&candidates);
     }
+    let when_empty = eligible.iter().map(|worker| worker.fitting_when_empty);
+    if when_empty.fold(0, u32::saturating_add) < tasks {
+        return Vec::new();
+    }
     if fitting.saturating_mul(100) >= tasks.saturating_mul(RENEWAL_FITTING_PERCENT) {
         return workers_to_renew(&eligible, tasks);
     }
