Leave workers at a step's limit out of its permit requests

Callers would see LOST for a task that lasts, or a late task: with a limit of tasks per worker, workers that already ran as many counted as room in permit requests, so that these named the same large workers again, and the last task never got a permit for another one. Cause: placement subtracts the tasks of the step on a worker, permit requests did not. Class: two counts of the same room that differ.

--- a/src/workflow/engine/permits.rs
+++ b/src/workflow/engine/permits.rs
@@ -114,6 +114,7 @@
         now: Time,
     ) -> Vec<PermitCandidate<'a>> {
         let active = self.active.get(&step.workflow);
+        let state = active.and_then(|active| active.steps.get(&(step.occurrence, step.step)));
         let priority = active.map_or(u8::MAX, |active| active.policy.priority);
         let latency = active.and_then(|active| active.policy.permits);
         let next_response = now
@@ -129,7 +130,9 @@
             });
             let eligible = permits.eligibility.get(name).copied();
             let possible = worker.listed && !worker.listing.draining && eligible != Some(false);
-            let max = spec.max_per_worker.unwrap_or(u32::MAX).min(spec.tasks);
+            let left = |max: u32| max.saturating_sub(state.map_or(0, |state| state.count_on(key)));
+            let max = spec.max_per_worker.map_or(u32::MAX, left);
+            let max = max.min(spec.tasks);
             let fitting_when_empty = worker.fitting_tasks_when_empty(&spec.reserved(), max);
             if !possible || fitting_when_empty == 0 || !self.matches_step(worker, step, spec) {
                 continue;
