Play workers whose capacity changes in the workflow simulation

Transactions can take longer, stops can take a time, and the capacity of all workers can change. One of the three tests fails on this code: a capacity that shrinks while a placement is committed is exceeded by the starts that follow. Stops, takeovers and a capacity that grows again were handled.

--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -19,7 +19,7 @@
 /// The latency of a message between the engine and a worker.
 const ONE_WAY_LATENCY_MS: u64 = 1;
 
-/// The duration of a transaction.
+/// The duration of a transaction, unless a test changes it.
 const COMMIT_MS: u64 = 10;
 
 /// The timeout of requests to workers.
@@ -51,6 +51,8 @@
     last_sequence: u64,
     /// Whether requests to the worker are lost.
     pub unreachable: bool,
+    /// How long a stop takes, in milliseconds.
+    pub stop_ms: u64,
     /// Whether the worker process has crashed, so that connections to it are refused.
     pub is_down: bool,
     /// How runs that start from now on will end.
@@ -76,6 +78,8 @@
     pub progress: HashMap<WorkflowId, WorkflowProgress>,
     pub stored_workers: Vec<WorkerListing>,
     pub store_fails: bool,
+    /// The duration of a transaction, in milliseconds.
+    pub commit_ms: u64,
     pub accepted: HashSet<u64>,
     pub refused: HashSet<u64>,
     pub cancelled: HashSet<u64>,
@@ -137,6 +141,7 @@
             progress: HashMap::new(),
             stored_workers: Vec::new(),
             store_fails: false,
+            commit_ms: COMMIT_MS,
             accepted: HashSet::new(),
             refused: HashSet::new(),
             cancelled: HashSet::new(),
@@ -272,7 +277,7 @@
             } else {
                 ScheduledEvent::Committed(Box::new(batch))
             };
-            self.scheduled.push((now_ms + COMMIT_MS, event));
+            self.scheduled.push((now_ms + self.commit_ms, event));
         }
     }
 
@@ -541,6 +546,7 @@
         ended: Vec::new(),
         last_sequence: 0,
         unreachable: false,
+        stop_ms: 0,
         is_down: false,
         next_end: RunEnd::Done,
     }
@@ -673,8 +679,13 @@
         self.check_fencing_token(target)?;
         let highest_run = self.highest_runs.entry(task).or_default();
         *highest_run = (*highest_run).max(run);
-        if self.runs.get(&task).is_some_and(|active| active.run == run) {
-            self.end(task, RunEnd::Stopped);
+        if let Some(active) = self.runs.get_mut(&task)
+            && active.run == run
+            && active.end != RunEnd::Stopped
+        {
+            active.end = RunEnd::Stopped;
+            active.ends_at = Some(now_ms + self.stop_ms);
+            self.end_due_runs(now_ms);
         }
         Ok(self.clock(now_ms))
     }
