Cut workers off right after a start in the test of retracted crashes

The test cut a worker off only once its task had settled there, so that it passed even without the retraction of crashes. It now cuts each worker off right after the start: without the retraction the workflow fails, with it it completes.

--- a/tests/workflow/crashes.rs
+++ b/tests/workflow/crashes.rs
@@ -220,11 +220,13 @@
             world.run_for(5);
             waits += 1;
         }
-        let at = world.workers.iter().position(|worker| worker.running() > 0);
-        let at = at.unwrap();
-        world.workers[at].unreachable = true;
-        world.run_for(6_500);
-        world.workers[at].unreachable = false;
+        // Each worker is cut off right after the start, until the task starts on another one.
+        for worker in &mut world.workers {
+            worker.unreachable = worker.running() > 0;
+        }
+    }
+    for worker in &mut world.workers {
+        worker.unreachable = false;
     }
     world.run_for(40_000);
     assert_eq!(world.state(1), Some(WorkflowState::Complete));
