Check the capacity of a worker again when a committed start is sent

Workers that do not guard their capacity were sent starts beyond it (LIMIT), if the capacity shrank while the placement was committed.

Cause: capacity is checked when a task is placed. The start follows after the commit, which a slow store can hold up for seconds, and was then only checked for a usable worker.

Evidence: the listed test capacity::no_start_exceeds_a_capacity_that_has_shrunk failed in the case "while the placement is committed" and passes now. Its other cases, and the tests for runs that are being stopped, for a takeover in between and for a capacity that grows again, passed before too.

Change: send_starts releases and requeues a run whose worker needs more than it last listed, so that those that still fit start.

--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -69,8 +69,8 @@
         self.commit_queue.add_run(key, task, run);
     }
 
-    /// Sends the start requests of runs whose placement is committed, unless they were released in
-    /// the meantime.
+    /// Sends the start requests of runs whose placement is committed. Those that were released in the
+    /// meantime or do not fit any more are not sent.
     pub(super) fn send_starts(&mut self, starts: &[(WorkerKey, TaskId, u32)], now: Time) {
         for (key, task, run) in starts {
             let worker = self.fleet.get(*key);
@@ -81,8 +81,10 @@
             if !is_assigned {
                 continue;
             }
-            let is_usable = worker.is_some_and(|worker| worker.is_usable(now));
-            if !is_usable || !self.start_run(*key, *task, *run, now) {
+            // The capacity may have shrunk since the placement.
+            let may_start =
+                worker.is_some_and(|worker| worker.is_usable(now) && !worker.is_over_capacity());
+            if !may_start || !self.start_run(*key, *task, *run, now) {
                 self.release_and_requeue(*key, *task, now + REJECTED_DELAY);
             }
         }
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -198,6 +198,11 @@
         unused.minus(&self.reserved_for_gangs)
     }
 
+    /// Whether the runs need more than the capacity, which may have shrunk.
+    pub(super) fn is_over_capacity(&self) -> bool {
+        !self.reserved.fits_in(&self.listing.capacity)
+    }
+
     /// Reserves capacity for a waiting gang until the next placement round.
     pub(super) fn reserve_for_gang(&mut self, capacity: &Resources) {
         self.reserved_for_gangs = self.reserved_for_gangs.plus(capacity);
