Take turns with the steps behind the head of the placement order

Callers would see LOST: a placement round considered the first 256 waiting steps only, so that behind as many that fit on no worker a step never started.

Cause: a bound on the work of a round that always leaves out the same steps. Class: a search that stops before its goal. Change: a round considers the first 128 steps and the next 128 of the others in turn, so that each step is considered every few rounds at the same cost.

--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -130,6 +130,8 @@
     active: HashMap<WorkflowId, ActiveWorkflow>,
     ended: HashMap<WorkflowId, WorkflowState>,
     ready: BTreeSet<ReadyKey>,
+    /// The last step that a placement round considered beyond the head of the placement order.
+    last_later_step: Option<ReadyKey>,
     recovery: Option<Recovery>,
     /// The workers on which a crash may be blamed that did not happen.
     crashed_workers: HashSet<WorkerName>,
@@ -168,6 +170,7 @@
             active: HashMap::new(),
             ended: HashMap::new(),
             ready: BTreeSet::new(),
+            last_later_step: None,
             recovery: None,
             crashed_workers: HashSet::new(),
             commit_queue: CommitQueue::default(),
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::HashSet;
+use std::ops::Bound::{Excluded, Included, Unbounded};
 use std::time::Duration;
 
 use super::{Engine, ReadyKey};
@@ -10,9 +11,12 @@
 use crate::workflow::policy::URGENT_PRIORITY;
 use crate::workflow::spec::{StepId, StepSpec};
 
-/// The maximum number of steps per round; later steps wait for the capacity that the first ones
-/// leave.
-const MAX_STEPS_PER_ROUND: usize = 256;
+/// The number of steps at the head of the placement order that each round considers.
+const FIRST_STEPS_PER_ROUND: usize = 128;
+
+/// The maximum number of later steps in a round. Rounds take turns with these, so that steps that fit
+/// nowhere hold up none behind them.
+const LATER_STEPS_PER_ROUND: usize = 128;
 
 /// The interval between two choices of the workers on which capacity is reserved for urgent tasks.
 const URGENT_RESERVE_INTERVAL: Duration = Duration::from_millis(250);
@@ -39,14 +43,30 @@
         self.clear_reservations();
         self.update_urgent_reserve(now);
         let max_free = self.max_free_capacity(now);
-        let first = self.ready.iter().take(MAX_STEPS_PER_ROUND);
-        let mut keys: Vec<ReadyKey> = first.copied().collect();
+        let mut keys = self.steps_of_round();
         keys.sort_by_key(|key| (key.priority, self.misses_objective(key, now), key.deadline));
         for key in keys {
             self.place_step(key, &max_free, now);
         }
     }
 
+    /// The steps that this round considers.
+    fn steps_of_round(&mut self) -> Vec<ReadyKey> {
+        let first = self.ready.iter().take(FIRST_STEPS_PER_ROUND);
+        let mut keys: Vec<ReadyKey> = first.copied().collect();
+        let Some(last) = keys.last().copied() else {
+            return keys;
+        };
+        let start = self.last_later_step.filter(|step| *step > last);
+        let start = start.unwrap_or(last);
+        let later = self.ready.range((Excluded(start), Unbounded));
+        let later = later.chain(self.ready.range((Excluded(last), Included(start))));
+        let later: Vec<ReadyKey> = later.take(LATER_STEPS_PER_ROUND).copied().collect();
+        self.last_later_step = later.last().copied();
+        keys.extend(later);
+        keys
+    }
+
     /// Whether the workflow of the step will certainly miss its latency objective. Such a step waits
     /// for those that can still meet theirs, unless someone waits for its result. Long-running tasks
     /// have no end that could be late.
