Keep slashes of store queries as they are, and decode queries in the soak's store

Change: a slash is no delimiter in a query and stays, so that our own keys are sent as before; the stand-in decodes all escapes, which is stricter than before, since an invalid one now ends it.

--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -138,11 +138,12 @@
     }
 }
 
-/// Percent-encodes a text for the query of a URL. `!` is no delimiter there, and page ranges use it.
+/// Percent-encodes a text for the query of a URL. `!` and `/` are no delimiters there, and ranges of keys
+/// use them.
 fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for byte in text.bytes() {
-        if byte.is_ascii_alphanumeric() || b"-._~!".contains(&byte) {
+        if byte.is_ascii_alphanumeric() || b"-._~!/".contains(&byte) {
             escaped.push(char::from(byte));
         } else {
             escaped.push_str(&format!("%{byte:02X}"));
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -286,13 +286,24 @@
     }
 }
 
-/// The value of a query parameter. The only percent-encoded character that occurs is the zero byte.
+/// The value of a query parameter, percent-decoded.
 fn query_param(query: &str, name: &str) -> String {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut value = pairs
         .filter(|(key, _)| *key == name)
         .map(|(_, value)| value);
-    value.next().unwrap_or_default().replace("%00", "\0")
+    percent_decode(value.next().unwrap_or_default())
+}
+
+fn percent_decode(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (digits, rest) = part.split_at(2);
+        bytes.push(u8::from_str_radix(digits, 16).unwrap());
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    String::from_utf8(bytes).unwrap()
 }
 
 fn response(status: StatusCode, body: &Value) -> Response<ResponseBody> {
