--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -140,6 +140,95 @@
     Some(broken)
 }
 
+/// UNASKED: a gang runs on after its submission was cancelled.
+pub fn gang(cell: &Cell, trouble: bool) -> Option<Vec<String>> {
+    let id = "00000000000000cc";
+    let takes = Duration::from_secs(12);
+    let step = |count, gang| Step {
+        count,
+        cpu: 4_500,
+        takes: Some(takes),
+        gang,
+    };
+    cell.fleet.expect(id, vec![step(2, true), step(1, false)]);
+    let gang = vec![("Gang", Json::Bool(true))];
+    let after = vec![("After", Json::List(vec![n(0)]))];
+    let phases = vec![
+        phase(2, 4_500, 12_000, gang),
+        phase(1, 4_500, 12_000, after),
+    ];
+    if cell.submit(id, "gang", Json::List(phases)) != Answer::Accepted {
+        return None;
+    }
+    sleep_s(1.0);
+    let past = cell.fleet.past();
+    let mut workers: Vec<usize> = past.iter().map(|run| run.worker).collect();
+    workers.sort_unstable();
+    workers.dedup();
+    let started = past.first()?.started;
+    // The workers of the gang are cut off for 5.5 s, shortly before the gang is done.
+    sleep_s(10.5 - started.elapsed().as_secs_f64());
+    if trouble {
+        cell.fleet.cut(&workers, true);
+    }
+    sleep_s(5.5);
+    if trouble {
+        cell.fleet.cut(&workers, false);
+    }
+    // Calm for longer than `ContactMs`, then the client cancels.
+    sleep_s(4.0);
+    let before = cell.fleet.running(id);
+    if !cell.cancel(id) {
+        return None;
+    }
+    sleep_s(3.0 + 0.4 + 0.2);
+    let left = cell.fleet.running(id);
+    cell.record.line(&format!(
+        "at work before the cancel: {before}, 3.6 s after its ack: {left}"
+    ));
+    let text =
+        format!("UNASKED: {left} runs of {id} are at work 3.6 s after the ack of its cancel");
+    Some(if left > 0 { vec![text] } else { Vec::new() })
+}
+
+/// LOST: submissions wait although there is room, because a wide gang that does not fit reserves it.
+pub fn waiting(cell: &Cell, trouble: bool) -> Option<Vec<String>> {
+    let submit = |id: &str, step: Step, kind: &str| {
+        let takes = step.takes.map_or(12_000, |takes| takes.as_millis() as u64);
+        let more = vec![(kind, Json::Bool(kind != "None"))];
+        let more = if kind == "None" { Vec::new() } else { more };
+        let phases = Json::List(vec![phase(step.count, step.cpu, takes, more)]);
+        cell.fleet.expect(id, vec![step]);
+        let accepted = cell.submit(id, "work", phases) == Answer::Accepted;
+        sleep_s(1.0);
+        accepted.then(|| id.to_owned())
+    };
+    let step = |count, cpu, gang| Step {
+        count,
+        cpu,
+        takes: Some(Duration::from_secs(12)),
+        gang,
+    };
+    // A service with 25 tasks of 14 cores takes 46 % of the capacity and leaves 23 workers idle.
+    let service = Step {
+        takes: None,
+        ..step(25, 14_000, false)
+    };
+    submit("00000000000000e0", service, "LongRunning")?;
+    sleep_s(2.0);
+    // 46 tasks of this gang would fit.
+    if trouble {
+        submit("00000000000000e1", step(48, 7_600, true), "Gang")?;
+    }
+    let mut accepted = Vec::new();
+    accepted.push(submit("00000000000000e2", step(10, 4_500, true), "Gang")?);
+    accepted.push(submit("00000000000000e3", step(10, 4_500, false), "None")?);
+    cell.record.line("end of the traffic");
+    // `finish_s` of the deployment.
+    sleep_s(14.0);
+    Some(stuck(cell, &accepted))
+}
+
 /// The workers of the case `label`, and the two of another kind.
 pub const LABEL_WORKERS: usize = 200;
 pub const LABEL_RARE: [usize; 2] = [0, 1];
@@ -281,3 +370,37 @@
     }
     Some(broken)
 }
+
+/// LOST: submissions never start once the fleet has grown from 48 to 1,100 workers.
+pub fn grow(cell: &Cell, trouble: bool) -> Option<Vec<String>> {
+    let submit = |number: u64| {
+        let id = format!("{:016x}", 0x5000 + number);
+        let step = Step {
+            count: 2,
+            cpu: 1_400,
+            takes: Some(Duration::from_millis(800)),
+            gang: false,
+        };
+        cell.fleet.expect(&id, vec![step]);
+        let phases = Json::List(vec![phase(2, 1_400, 800, Vec::new())]);
+        let accepted = cell.submit(&id, "swap", phases) == Answer::Accepted;
+        sleep_s(0.3);
+        accepted.then_some(id)
+    };
+    let mut accepted: Vec<String> = (0..5).filter_map(submit).collect();
+    if trouble {
+        for index in 48..1_100 {
+            cell.fleet.add(index, &[], &cell.store);
+            sleep_s(0.02);
+        }
+        cell.record.line("there are 1,100 workers");
+    }
+    accepted.extend((5..25).filter_map(submit));
+    sleep_s(14.0);
+    let broken = stuck(cell, &accepted);
+    cell.record.line(&format!(
+        "rejected by the store: {:?}",
+        cell.store.rejected()
+    ));
+    Some(broken)
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -108,33 +108,8 @@
             changed: Condvar::new(),
             record,
         });
-        let born = unix_ms();
         for index in 0..count {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a worker");
-            let address = listener.local_addr().expect("the address of a worker");
-            let id = format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_mul(index as u32 + 1));
-            let worker = Worker {
-                id: id.clone(),
-                address,
-                kind: if rare.contains(&index) { "b" } else { "a" },
-                zone: index % 3,
-                rack: index / 3 / 8,
-                started: Instant::now(),
-                born,
-                cut: false,
-                down: false,
-                draining: false,
-                runs: BTreeMap::new(),
-                ended: Vec::new(),
-                next_end: 1,
-                last_runs: HashMap::new(),
-                fence: 0,
-                lease_until_ms: 0,
-            };
-            store.put("servers", &id, &listing(&worker));
-            fleet.lock().workers.push(worker);
-            let server = fleet.clone();
-            http::serve(listener, Arc::new(move |req| server.handle(index, &req)));
+            fleet.add(index, rare, store);
         }
         let ticking = fleet.clone();
         std::thread::spawn(move || {
@@ -146,6 +121,35 @@
         fleet
     }
 
+    /// Starts one more worker and lists it in the store.
+    pub fn add(self: &Arc<Self>, index: usize, rare: &[usize], store: &Store) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a worker");
+        let address = listener.local_addr().expect("the address of a worker");
+        let id = format!("i-{:08x}", 0x7f3a_91c2_u32.wrapping_mul(index as u32 + 1));
+        let worker = Worker {
+            id: id.clone(),
+            address,
+            kind: if rare.contains(&index) { "b" } else { "a" },
+            zone: index % 3,
+            rack: index / 3 / 8,
+            started: Instant::now(),
+            born: unix_ms(),
+            cut: false,
+            down: false,
+            draining: false,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            last_runs: HashMap::new(),
+            fence: 0,
+            lease_until_ms: 0,
+        };
+        store.put("servers", &id, &listing(&worker));
+        self.lock().workers.push(worker);
+        let server = self.clone();
+        http::serve(listener, Arc::new(move |req| server.handle(index, &req)));
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -47,6 +47,9 @@
     let found = match case.as_str() {
         "wide" => cases::wide(&cell, trouble),
         "lasting" => cases::lasting(&cell, trouble),
+        "gang" => cases::gang(&cell, trouble),
+        "grow" => cases::grow(&cell, trouble),
+        "waiting" => cases::waiting(&cell, trouble),
         "label" => cases::label(&cell, trouble),
         "aged" => cases::aged(&cell, trouble),
         _ => None,
