End an owner's right to act a fixed time after its last write

Cause: the fencing token stops a replaced owner only at workers that the new owner has reached; nothing limited how long an owner acts without a write that takes effect. Ruled out: a wrong wait of the new owner alone (the test still fails with the longer wait and an unlimited owner), and requests carried out late (none in the test).

Change: the tenure (workflow/tenure.rs) ends 3 s after the sending of the last write that took effect, by CLOCK_BOOTTIME. Leases, starts, stops and acknowledgements ask it when they are decided and when they are sent. The new owner waits for the tenure and one lease. A release ends it when sent, a worker that rejects the token ends it, a release waits for the predecessor's tenure, and a claim without response counts only if the record has the claimed epoch.

Tests: without the check in Tenure::permits, three tests of takeover.rs fail (no_task_runs_twice_while_a_replaced_owner_reaches_its_worker, a_replaced_owner_changes_nothing_on_its_workers_after_its_tenure, the_tenure_of_an_owner_ends_unless_a_write_takes_effect).

--- a/src/coordinator/elector.rs
+++ b/src/coordinator/elector.rs
@@ -22,7 +22,9 @@
 use crate::model::{Time, VmName, WorkerName};
 use crate::port::feeds::{FeedUpdate, WorkerChange};
 use crate::port::record_store::StoreError;
-use crate::workflow::{CommitBatch, Engine, EngineConfig, QueueConfig, QueuePolicy};
+use crate::workflow::{
+    CommitBatch, Engine, EngineConfig, QueueConfig, QueuePolicy, Tenure, predecessor_ends_at,
+};
 
 /// The interval between two pings of the owner.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
@@ -233,7 +235,7 @@
             let delay_left = delay.saturating_sub(now.since(since));
             if delay_left <= RECORD_CHECK_INTERVAL {
                 tokio::time::sleep(delay_left).await;
-                self.claim(0, 0).await;
+                self.claim(0, 0, now).await;
             }
             return;
         };
@@ -256,7 +258,14 @@
             Duration::ZERO
         };
         if now.since(since) >= timeout + head_start {
-            self.claim(record.epoch, version).await;
+            // An owner sends its release last. The predecessor of a process that has failed may
+            // still act, even if that process itself does not.
+            let ends_at = match (record.released, is_own_record) {
+                (true, _) => now,
+                (false, true) => predecessor_ends_at(now),
+                (false, false) => predecessor_ends_at(since),
+            };
+            self.claim(record.epoch, version, ends_at).await;
         }
     }
 
@@ -271,9 +280,9 @@
         others.any(|member| member.is_preferred_owner(cpu_milli))
     }
 
-    /// Claims the shard after the owner of `epoch`, whose record has `version`, and runs the owner until
-    /// its ownership ends.
-    async fn claim(&self, epoch: u64, version: u64) {
+    /// Claims the shard after the owner of `epoch`, whose record has `version` and whose tenure ends at
+    /// `ends_at` at the latest, and runs the owner until its ownership ends.
+    async fn claim(&self, epoch: u64, version: u64, ends_at: Time) {
         // An owner without a configuration cannot run workflows.
         if *self.stopping.borrow() || self.queues.borrow().is_empty() {
             return;
@@ -287,14 +296,16 @@
             transaction: 0,
             released: false,
         };
-        match FencedWriter::claim(&self.ports.store, self.shard, record, version).await {
+        let clock = self.ports.clock;
+        let tenure = Tenure::begin(clock.now());
+        match FencedWriter::claim(&self.ports.store, self.shard, record, version, clock).await {
             Ok(Some(writer)) => {
                 tracing::info!(
                     shard = self.shard.0,
                     epoch = writer.owner.epoch,
                     "this VM has claimed a shard; loading its records"
                 );
-                self.run_owner(writer).await;
+                self.run_owner(writer, tenure, ends_at).await;
             }
             Ok(None) => tracing::info!(
                 shard = self.shard.0,
@@ -309,17 +320,17 @@
     }
 
     /// Loads the shard's records and runs the owner until its ownership ends.
-    async fn run_owner(&self, mut writer: FencedWriter) {
+    async fn run_owner(&self, mut writer: FencedWriter, mut tenure: Tenure, ends_at: Time) {
         // Counted while the records are still being loaded, so that this VM claims no further shard
         // that another one has more CPU for.
         self.ports.cluster.shard_acquired();
-        let Some((snapshot, listed)) = self.load_snapshot(&mut writer).await else {
+        let Some((snapshot, listed)) = self.load_snapshot(&mut writer, &mut tenure).await else {
             self.ports.cluster.shard_released();
             return;
         };
         let now = self.ports.clock.now();
         let epoch = writer.owner.epoch;
-        let mut engine = Engine::new(self.cfg, epoch);
+        let mut engine = Engine::new(self.cfg, epoch, tenure);
         engine.set_queues(self.queues.borrow().clone());
         for change in listed.items {
             match change {
@@ -333,7 +344,7 @@
             engine.restore_worker(listing, now);
         }
         if epoch > 1 {
-            engine.begin_recovery(now);
+            engine.begin_recovery(ends_at.max(now));
         }
         let workflows = snapshot.workflows.len();
         for (id, record, progress) in snapshot.workflows {
@@ -352,6 +363,7 @@
             writer,
             self.ports.clone(),
             (self.shard, self.map),
+            ends_at,
             end_tx,
         );
         let owner = WorkflowOwner::spawn(owner);
@@ -396,6 +408,7 @@
     async fn load_snapshot(
         &self,
         writer: &mut FencedWriter,
+        tenure: &mut Tenure,
     ) -> Option<(ShardSnapshot, FeedUpdate<WorkerChange>)> {
         let store = &self.ports.store;
         let reading = async {
@@ -411,14 +424,16 @@
             }
             let empty = CommitBatch::default();
             let heartbeat = writer.commit(store, &empty, false, &NoStoreObserver);
-            if heartbeat
-                .await
-                .is_err_and(|error| error == WriteError::Fenced)
-            {
-                tracing::warn!(
-                    "another process owns the shard whose records are being loaded; starting no owner"
-                );
-                return None;
+            match heartbeat.await {
+                Ok(outcome) => tenure.renew(outcome.sent_at),
+                Err(WriteError::Fenced) => {
+                    tracing::warn!(
+                        "another process owns the shard whose records are being loaded; starting no owner"
+                    );
+                    return None;
+                }
+                // The observer has logged the failure.
+                Err(WriteError::NotDone) => {}
             }
         }
     }
--- a/src/coordinator/fenced_writer.rs
+++ b/src/coordinator/fenced_writer.rs
@@ -7,6 +7,8 @@
 use super::layout::{self, OwnerRecord};
 use super::reader::{self, CALL_TIMEOUT};
 use super::shards::ShardId;
+use crate::model::Time;
+use crate::node::clock::Clock;
 use crate::port::record_store::{
     Record, RecordKey, SharedRecordStore, StoreCall, StoreError, StoreReply, Transaction,
 };
@@ -37,10 +39,12 @@
 }
 
 /// The outcome of a committed batch.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct WriteOutcome {
     /// Workflows of the batch that were in the store already; their records are not overwritten.
     pub(super) existing: Vec<(WorkflowId, WorkflowRecord)>,
+    /// When the first try was sent that may have taken effect.
+    pub(super) sent_at: Time,
 }
 
 /// Receives the results of store calls.
@@ -58,6 +62,7 @@
     pub(super) owner: OwnerRecord,
     /// The version of the owner record that each transaction expects.
     version: u64,
+    clock: Clock,
 }
 
 impl FencedWriter {
@@ -68,6 +73,7 @@
         shard: ShardId,
         owner: OwnerRecord,
         version: u64,
+        clock: Clock,
     ) -> Result<Option<Self>, StoreError> {
         let transaction = Transaction {
             expected: vec![(layout::owner_key(shard), version)],
@@ -80,14 +86,21 @@
                 shard,
                 owner,
                 version,
+                clock,
             })),
             Ok(_) | Err(StoreError::Unknown(_)) => {
                 let found = reader::read_owner(store, shard).await?;
-                let own = found.filter(|(found, _)| found.is_same_process(&owner));
+                // The record of an earlier epoch of this process does not show that the claim took
+                // effect.
+                let is_own = |found: &OwnerRecord| {
+                    found.is_same_process(&owner) && found.epoch == owner.epoch
+                };
+                let own = found.filter(|(found, _)| is_own(found));
                 Ok(own.map(|(owner, version)| Self {
                     shard,
                     owner,
                     version,
+                    clock,
                 }))
             }
             Err(error) => Err(error),
@@ -106,7 +119,11 @@
         released: bool,
         observer: &dyn StoreObserver,
     ) -> Result<WriteOutcome, WriteError> {
-        let mut outcome = WriteOutcome::default();
+        let first_sent_at = self.clock.now();
+        let mut outcome = WriteOutcome {
+            existing: Vec::new(),
+            sent_at: first_sent_at,
+        };
         self.owner.transaction += 1;
         self.owner.released = released;
         let mut failures = 0;
@@ -122,6 +139,7 @@
                 }
             };
             let call = StoreCall::Commit(transaction);
+            outcome.sent_at = self.clock.now();
             match store.call(&call, CALL_TIMEOUT).await {
                 Ok(StoreReply::Committed { version }) => {
                     self.version = version;
@@ -132,6 +150,8 @@
                     observer.on_success();
                     outcome_unknown = false;
                     if self.resolve_conflict(&records, &mut outcome)? {
+                        // It is not known which try took effect.
+                        outcome.sent_at = first_sent_at;
                         return Ok(outcome);
                     }
                 }
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -71,7 +71,7 @@
 /// The actor that owns a shard.
 #[derive(Actor)]
 pub(super) struct WorkflowOwner {
-    engine: Engine,
+    pub(super) engine: Engine,
     /// `None` while a transaction is in flight.
     writer: Option<FencedWriter>,
     pub(super) ports: WorkflowOwnerPorts,
@@ -87,6 +87,9 @@
     /// Notified when ownership has ended after [`Event::Release`].
     release_tx: Option<oneshot::Sender<()>>,
     started_at: Time,
+    /// When the tenure of the previous owner ends. This owner releases the shard only after that,
+    /// because its successor knows of this owner only.
+    predecessor_ends_at: Time,
     end_tx: watch::Sender<Option<OwnershipEnd>>,
 }
 
@@ -98,6 +101,7 @@
         writer: FencedWriter,
         ports: WorkflowOwnerPorts,
         (shard, shard_map): (ShardId, ShardMap),
+        predecessor_ends_at: Time,
         end_tx: watch::Sender<Option<OwnershipEnd>>,
     ) -> Self {
         Self {
@@ -113,6 +117,7 @@
             pending_replies: Slab::new(),
             releasing: None,
             release_tx: None,
+            predecessor_ends_at,
             end_tx,
         }
     }
@@ -357,6 +362,9 @@
         self.writer = Some(write.writer);
         match write.result {
             Ok(outcome) => {
+                if !released {
+                    self.engine.renew_tenure(outcome.sent_at);
+                }
                 self.engine.handle_commit(batch, &outcome.existing, now);
             }
             Err(WriteError::NotDone) => {
@@ -401,9 +409,6 @@
     }
 
     fn execute_effects(&mut self, actor_ref: &ActorRef<Self>, now: Time) {
-        if self.engine.is_fenced() {
-            tracing::warn!("a worker has seen a later owner's fencing token; this owner is fenced");
-        }
         for effect in self.engine.take_effects() {
             match effect {
                 Effect::Poll {
@@ -443,7 +448,7 @@
     /// Starts the next transaction if there are changes to record or the heartbeat is due.
     fn commit(&mut self, actor_ref: &ActorRef<Self>, now: Time) {
         let elapsed = now.since(self.last_commit);
-        let releasing = self.releasing.is_some();
+        let releasing = self.releasing.is_some() && now >= self.predecessor_ends_at;
         let interval = match self.health.failing_for_ms() {
             Some(_) => FAILED_COMMIT_INTERVAL,
             None => COMMIT_INTERVAL,
@@ -460,6 +465,10 @@
         };
         self.last_commit = now;
         let release = releasing && batch.is_none();
+        if release {
+            // Another VM may take over as soon as the release is sent.
+            self.engine.begin_release(now);
+        }
         let batch = batch.unwrap_or_default();
         let (store, health, actor_ref) = (
             self.ports.store.clone(),
--- a/src/coordinator/owner_calls.rs
+++ b/src/coordinator/owner_calls.rs
@@ -13,14 +13,56 @@
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
 use crate::model::{Time, WorkerName};
-use crate::port::executor::{PermitError, Permits, PollRequest, StartRequest, WorkerTarget};
+use crate::node::clock::Clock;
+use crate::port::executor::{
+    ExecutorError, PermitError, Permits, PollRequest, StartRequest, WorkerTarget,
+};
 use crate::workflow::{StepId, TaskId, WorkerKey};
 
 /// Added to the estimated duration of a permit request. Covers the network latency and one earlier
 /// request of the same VM that is still in flight.
 const PERMIT_TIMEOUT_MARGIN_MS: u64 = 800;
 
+/// Checks the owner's tenure when a request is sent, which may be long after it was decided if the
+/// process was suspended in between.
+struct SendingTenure {
+    ends_at: Time,
+    clock: Clock,
+}
+
+impl SendingTenure {
+    fn has_ended(&self) -> bool {
+        self.clock.now() >= self.ends_at
+    }
+
+    /// An error if the owner may not send a request that acts on a worker.
+    fn check(&self) -> Result<(), ExecutorError> {
+        if self.has_ended() {
+            return Err(ExecutorError::NotSent(
+                "the tenure of the owner has ended".to_owned(),
+            ));
+        }
+        Ok(())
+    }
+
+    /// A poll that only reads, if the owner may not act.
+    fn restrict(&self, request: PollRequest) -> PollRequest {
+        if self.has_ended() {
+            request.read_only()
+        } else {
+            request
+        }
+    }
+}
+
 impl WorkflowOwner {
+    fn sending_tenure(&self) -> SendingTenure {
+        SendingTenure {
+            ends_at: self.engine.tenure().ends_at(),
+            clock: self.ports.clock,
+        }
+    }
+
     pub(super) fn poll(
         &self,
         actor_ref: &ActorRef<Self>,
@@ -31,7 +73,9 @@
     ) {
         let (executors, actor_ref) = (self.ports.executors.clone(), actor_ref.clone());
         self.ports.metrics.count(Counter::WorkerCalls, 1);
+        let tenure = self.sending_tenure();
         tokio::spawn(async move {
+            let request = tenure.restrict(request);
             let result = executors.poll(&target, &request).await;
             let _ = actor_ref
                 .tell(Event::PollResponse(worker, now, result))
@@ -49,8 +93,12 @@
         let (executors, actor_ref) = (self.ports.executors.clone(), actor_ref.clone());
         self.ports.metrics.count(Counter::TasksPlaced, 1);
         self.ports.metrics.count(Counter::WorkerCalls, 1);
+        let tenure = self.sending_tenure();
         tokio::spawn(async move {
-            let result = executors.start(&target, &request).await;
+            let result = match tenure.check() {
+                Ok(()) => executors.start(&target, &request).await,
+                Err(error) => Err(error),
+            };
             let event = Event::StartResponse(worker, request.task, request.run, result);
             let _ = actor_ref.tell(event).await;
         });
@@ -65,8 +113,12 @@
         run: u32,
     ) {
         let (executors, actor_ref) = (self.ports.executors.clone(), actor_ref.clone());
+        let tenure = self.sending_tenure();
         tokio::spawn(async move {
-            let result = executors.stop(&target, task, run).await;
+            let result = match tenure.check() {
+                Ok(()) => executors.stop(&target, task, run).await,
+                Err(error) => Err(error),
+            };
             let _ = actor_ref
                 .tell(Event::StopResponse(worker, task, run, result))
                 .await;
--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -1,10 +1,19 @@
 //! The clock of this process.
 
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, SystemTime};
+
+use nix::time::{ClockId, clock_gettime};
 
 use crate::model::Time;
 
-/// A monotonic clock that counts from its creation.
+/// The system's monotonic clock. On Linux, it also counts while the machine is suspended, because
+/// leases of others expire in that time.
+#[cfg(target_os = "linux")]
+const MONOTONIC: ClockId = ClockId::CLOCK_BOOTTIME;
+#[cfg(not(target_os = "linux"))]
+const MONOTONIC: ClockId = ClockId::CLOCK_MONOTONIC;
+
+/// A monotonic clock that counts from its creation, also while the machine is suspended.
 ///
 /// # Examples
 ///
@@ -17,21 +26,25 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// A clock that starts now, at zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system has no monotonic clock.
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start: read_monotonic(),
         }
     }
 
     /// The time since the clock was created.
     pub fn now(&self) -> Time {
-        let micros = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
-        Time(micros)
+        let elapsed = read_monotonic().saturating_sub(self.start);
+        Time(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
     }
 
     /// The wall-clock time since the Unix epoch. Only for reports to operators: no scheduling
@@ -42,3 +55,8 @@
         Time(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
+
+fn read_monotonic() -> Duration {
+    let time = clock_gettime(MONOTONIC).expect("the system has a monotonic clock");
+    Duration::from(time)
+}
--- a/src/port/executor.rs
+++ b/src/port/executor.rs
@@ -55,6 +55,28 @@
     pub wait_ms: u32,
 }
 
+impl PollRequest {
+    /// A poll that changes nothing on the worker: it neither renews the lease nor acknowledges ended
+    /// runs, and it does not wait.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutlug::port::executor::PollRequest;
+    ///
+    /// let poll = PollRequest { acknowledged: 7, lease_until_ms: Some(5_000), wait_ms: 2_000 };
+    /// assert_eq!(poll.read_only().lease_until_ms, None);
+    /// ```
+    #[must_use]
+    pub fn read_only(self) -> Self {
+        Self {
+            acknowledged: 0,
+            lease_until_ms: None,
+            wait_ms: 0,
+        }
+    }
+}
+
 /// Starts a run of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartRequest {
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -27,6 +27,7 @@
 use super::policy::{EngineConfig, QueuePolicy};
 use super::record::WorkflowState;
 use super::spec::{StepId, TaskId, WorkflowId};
+use super::tenure::Tenure;
 use super::urgent_reserve::UrgentLoad;
 use crate::model::{QueueName, Time, WorkerName};
 use crate::port::executor::{PollRequest, StartRequest, WorkerTarget};
@@ -125,6 +126,7 @@
 pub struct Engine {
     cfg: EngineConfig,
     fencing_token: u64,
+    tenure: Tenure,
     fleet: Fleet,
     queues: HashMap<QueueName, QueuePolicy>,
     active: HashMap<WorkflowId, ActiveWorkflow>,
@@ -154,17 +156,17 @@
     last_placement: Option<Time>,
     /// When all workers were last checked.
     last_sweep: Option<Time>,
-    fenced: bool,
     effects: Vec<Effect>,
 }
 
 impl Engine {
     /// Creates an engine for the owner with `fencing_token`, which starts at 1 and increases with
-    /// each owner.
-    pub fn new(cfg: EngineConfig, fencing_token: u64) -> Self {
+    /// each owner. The owner acts within `tenure`.
+    pub fn new(cfg: EngineConfig, fencing_token: u64, tenure: Tenure) -> Self {
         Self {
             cfg,
             fencing_token,
+            tenure,
             fleet: Fleet::default(),
             queues: HashMap::new(),
             active: HashMap::new(),
@@ -183,14 +185,35 @@
             next_placement: Time::default(),
             last_placement: None,
             last_sweep: None,
-            fenced: false,
             effects: Vec::new(),
         }
     }
 
-    /// Whether a worker has rejected a request because it knows the fencing token of a later owner.
-    pub fn is_fenced(&self) -> bool {
-        self.fenced
+    /// The time for which the owner may act.
+    pub fn tenure(&self) -> Tenure {
+        self.tenure
+    }
+
+    /// Renews the tenure after a write took effect, see [`Tenure::renew`].
+    pub fn renew_tenure(&mut self, sent_at: Time) {
+        self.tenure.renew(sent_at);
+    }
+
+    /// Ends the tenure because the release of the shard is being sent.
+    pub fn begin_release(&mut self, now: Time) {
+        self.tenure.revoke(now);
+    }
+
+    /// Ends the tenure because a worker knows the fencing token of a later owner.
+    fn handle_fenced(&mut self, key: WorkerKey, now: Time) {
+        if self.tenure.permits(now) {
+            tracing::warn!(
+                worker = self.worker_name(key),
+                token = self.fencing_token,
+                "a worker has seen a later owner's fencing token; acting no more until a write takes effect"
+            );
+        }
+        self.tenure.revoke(now);
     }
 
     /// Takes the effects since the last call.
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -52,6 +52,7 @@
 
     fn poll_worker(&mut self, key: WorkerKey, now: Time) {
         let lease_ms = self.cfg.lease_ms;
+        let may_act = self.tenure.permits(now);
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
@@ -68,17 +69,22 @@
         // The leases of an unresponsive worker are left to expire, so that its runs have certainly
         // ended after that. While it is not known which process responds, its clock is not known
         // either.
-        let lease_until_ms =
-            if worker.is_unresponsive() || worker.process_unconfirmed_since.is_some() {
-                None
-            } else {
-                worker.grant_lease(lease_ms, now)
-            };
+        let is_certain = !worker.is_unresponsive() && worker.process_unconfirmed_since.is_none();
+        let lease_until_ms = if may_act && is_certain {
+            worker.grant_lease(lease_ms, now)
+        } else {
+            None
+        };
         let request = PollRequest {
             acknowledged: worker.acknowledged_sequence(),
             lease_until_ms,
             wait_ms: if may_wait { LONG_POLL_WAIT_MS } else { 0 },
         };
+        let request = if may_act {
+            request
+        } else {
+            request.read_only()
+        };
         if let Some(worker) = self.fleet.get(key) {
             let target = self.target(worker);
             self.effects.push(Effect::Poll {
@@ -131,7 +137,10 @@
         worker.poll_in_flight = false;
         match response {
             Ok(response) => self.apply_poll_response(key, sent_at, &response, now),
-            Err(ExecutorError::Rejected(Rejection::Fenced)) => self.fenced = true,
+            Err(ExecutorError::Rejected(Rejection::Fenced)) => {
+                self.handle_fenced(key, now);
+                self.schedule_poll(key, now + FAILED_POLL_INTERVAL);
+            }
             Err(error) => {
                 worker.set_aside(now);
                 if worker.listed {
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -84,6 +84,7 @@
             // The capacity may have shrunk since the placement.
             let may_start =
                 worker.is_some_and(|worker| worker.is_usable(now) && !worker.is_over_capacity());
+            let may_start = may_start && self.tenure.permits(now);
             if !may_start || !self.start_run(*key, *task, *run, now) {
                 self.release_and_requeue(*key, *task, now + REJECTED_DELAY);
             }
@@ -187,6 +188,11 @@
         let Some(worker) = self.fleet.get(key) else {
             return;
         };
+        if !self.tenure.permits(now) {
+            // Repeated after later polls, if the tenure is renewed.
+            self.ensure_poll_scheduled(key, now);
+            return;
+        }
         tracing::info!(
             request = %task.step.workflow,
             task = %task,
@@ -272,7 +278,7 @@
     ) {
         let mut delay = REJECTED_DELAY;
         match rejection {
-            Rejection::Fenced => self.fenced = true,
+            Rejection::Fenced => self.handle_fenced(key, now),
             Rejection::Outdated | Rejection::Late | Rejection::OtherBoot | Rejection::NoRoom => {
                 if rejection != Rejection::Outdated
                     && let Some(worker) = self.fleet.get_mut(key)
@@ -339,7 +345,7 @@
                     response_at.get_or_insert(now);
                 }
             }
-            Err(ExecutorError::Rejected(Rejection::Fenced)) => self.fenced = true,
+            Err(ExecutorError::Rejected(Rejection::Fenced)) => self.handle_fenced(key, now),
             Err(error) => {
                 tracing::warn!(request = %task.step.workflow, task = %task, run,
                     worker = %worker.listing.name, %error,
--- a/src/workflow/engine/submission.rs
+++ b/src/workflow/engine/submission.rs
@@ -8,9 +8,7 @@
 use crate::workflow::fleet::{WorkerKey, as_millis};
 use crate::workflow::record::{PlacedRun, WorkflowProgress, WorkflowRecord, WorkflowState};
 use crate::workflow::spec::{StepId, WorkflowId, WorkflowSpec};
-
-/// The margin added to the leases of earlier owners for slow worker clocks, in percent.
-const RECOVERY_MARGIN_PERCENT: u64 = 5;
+use crate::workflow::tenure::with_clock_margin;
 
 /// The immediate status of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,15 +178,14 @@
         self.enqueue_steps(id);
     }
 
-    /// Begins the recovery of the runs that earlier owners started. Must be called before workflows
-    /// are loaded.
-    pub fn begin_recovery(&mut self, now: Time) {
-        let lease_ms = self.cfg.lease_ms;
-        let max_ms = lease_ms + lease_ms * RECOVERY_MARGIN_PERCENT / 100;
+    /// Begins the recovery of the runs that earlier owners started, the last of which acted until
+    /// `predecessor_ends_at` at the latest. Must be called before workflows are loaded.
+    pub fn begin_recovery(&mut self, predecessor_ends_at: Time) {
+        let lease = Duration::from_millis(self.cfg.lease_ms);
         let pending_workers = self.fleet.keys().into_iter().collect();
         self.recovery = Some(Recovery {
             pending_workers,
-            leases_expire_at: now + Duration::from_millis(max_ms),
+            leases_expire_at: predecessor_ends_at + with_clock_margin(lease),
         });
     }
 
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 pub mod record;
 mod routes;
 mod spec;
+mod tenure;
 pub mod urgent_reserve;
 
 pub use engine::{CancelStatus, CommitBatch, Effect, EndAck, Engine, ReplyToken, SubmitStatus};
@@ -21,3 +22,4 @@
     MAX_TASKS_PER_STEP, ParseIdError, Recurrence, SpecError, StepId, StepSpec, TaskId, WorkflowId,
     WorkflowSpec,
 };
+pub use tenure::{Tenure, predecessor_ends_at};
--- a/tests/workflow/takeover.rs
+++ b/tests/workflow/takeover.rs
@@ -1,11 +1,12 @@
 //! Takeovers: an owner is lost, and a new one recovers its workflows.
 
+use chestnutlug::model::Time;
 use chestnutlug::port::executor::RunEnd;
-use chestnutlug::workflow::StepSpec;
 use chestnutlug::workflow::record::WorkflowState;
+use chestnutlug::workflow::{StepSpec, Tenure};
 use quickcheck::{Arbitrary, Gen};
 
-use crate::world::{LEASE_MS, World, step};
+use crate::world::{FakeWorker, LEASE_MS, World, step};
 
 #[test]
 fn active_runs_continue_after_a_takeover() {
@@ -75,10 +76,172 @@
     assert_eq!(runs.len(), 2, "two runs of the whole gang: {runs:?}");
 }
 
+/// Two owners act at once: the earlier one is cut off from the store, the later one from a worker.
+#[test]
+fn no_task_runs_twice_while_a_replaced_owner_reaches_its_worker() {
+    struct Case {
+        name: &'static str,
+        /// How long the earlier owner has been without the store at the takeover, in milliseconds.
+        takeover_after_ms: u64,
+        /// How long the process of the earlier owner is frozen after the takeover, in milliseconds.
+        frozen_ms: u64,
+        /// When the later owner reaches the worker, in milliseconds after the takeover.
+        reachable_after_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the worker is reached before its lease expires",
+            takeover_after_ms: 1_500,
+            frozen_ms: 0,
+            reachable_after_ms: 6_000,
+        },
+        Case {
+            name: "the worker is reached after its lease has expired",
+            takeover_after_ms: 1_500,
+            frozen_ms: 0,
+            reachable_after_ms: 15_000,
+        },
+        Case {
+            name: "the worker is never reached",
+            takeover_after_ms: 1_500,
+            frozen_ms: 0,
+            reachable_after_ms: u64::MAX,
+        },
+        Case {
+            name: "the earlier owner wakes after the takeover",
+            takeover_after_ms: 2_500,
+            frozen_ms: 2_000,
+            reachable_after_ms: u64::MAX,
+        },
+        Case {
+            name: "the earlier owner has just lost the store",
+            takeover_after_ms: 0,
+            frozen_ms: 0,
+            reachable_after_ms: u64::MAX,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(2, false);
+        world.task_ms = Some(60_000);
+        world.run_for(100);
+        world.submit(1, vec![step(1, 500)]);
+        world.run_for(1_000);
+        let at = world.workers.iter().position(|worker| worker.running() > 0);
+        let at = at.unwrap();
+        world.store_fails = true;
+        world.run_for(case.takeover_after_ms);
+        world.workers[at].unreachable = true;
+        world.take_over_beside_stale_owner();
+        world.store_fails = false;
+        let set_frozen = |world: &mut World, frozen| {
+            let stale = world.stale.as_mut();
+            stale.unwrap().frozen = frozen;
+        };
+        set_frozen(&mut world, true);
+        world.run_for(case.frozen_ms);
+        set_frozen(&mut world, false);
+        let rest_ms = 20_000 - case.frozen_ms;
+        let unreachable_ms = case.reachable_after_ms.saturating_sub(case.frozen_ms);
+        world.run_for(unreachable_ms.min(rest_ms));
+        world.workers[at].unreachable = case.reachable_after_ms == u64::MAX;
+        world.run_for(5_000);
+        let (name, violations) = (case.name, &world.violations);
+        assert!(violations.is_empty(), "{name}: {violations:?}");
+        let running = world.workers.iter().map(|worker| worker.running());
+        assert_eq!(running.sum::<usize>(), 1, "{name}: the task does not run");
+    }
+}
+
+#[test]
+fn a_replaced_owner_changes_nothing_on_its_workers_after_its_tenure() {
+    let mut world = World::new(2, false);
+    world.task_ms = Some(4_000);
+    world.run_for(100);
+    world.submit(1, vec![step(2, 3_000)]);
+    world.run_for(1_000);
+    for worker in &mut world.workers {
+        worker.unreachable = true;
+    }
+    world.take_over_beside_stale_owner();
+    world.run_for(3_000);
+    let before: Vec<(u64, u64)> = world.workers.iter().map(FakeWorker::orders).collect();
+    // Cancelling makes the stale owner stop the runs.
+    world.cancel_at_stale_owner(1);
+    world.run_for(4_000);
+    let after: Vec<(u64, u64)> = world.workers.iter().map(FakeWorker::orders).collect();
+    assert_eq!(
+        before, after,
+        "leases and counts of stops and acknowledgements"
+    );
+}
+
+#[test]
+fn the_tenure_of_an_owner_ends_unless_a_write_takes_effect() {
+    #[derive(Debug)]
+    enum Event {
+        Renew(u64),
+        Revoke(u64),
+    }
+    use Event::{Renew, Revoke};
+    struct Case {
+        name: &'static str,
+        events: Vec<Event>,
+        /// The first millisecond in which the owner may not act.
+        ends_at_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "no write after the claim",
+            events: vec![],
+            ends_at_ms: 4_000,
+        },
+        Case {
+            name: "a write",
+            events: vec![Renew(1_500)],
+            ends_at_ms: 4_500,
+        },
+        Case {
+            name: "a late response to an earlier write",
+            events: vec![Renew(2_000), Renew(1_500)],
+            ends_at_ms: 5_000,
+        },
+        Case {
+            name: "a release whose outcome is unknown",
+            events: vec![Renew(2_000), Revoke(2_100)],
+            ends_at_ms: 2_100,
+        },
+        Case {
+            name: "a response to a write from before the release",
+            events: vec![Revoke(2_100), Renew(2_000)],
+            ends_at_ms: 2_100,
+        },
+        Case {
+            name: "a write after a release that did not take effect",
+            events: vec![Revoke(2_100), Renew(2_200)],
+            ends_at_ms: 5_200,
+        },
+    ];
+    for case in cases {
+        let mut tenure = Tenure::begin(Time::from_millis(1_000));
+        for event in &case.events {
+            match event {
+                Renew(sent_ms) => tenure.renew(Time::from_millis(*sent_ms)),
+                Revoke(at_ms) => tenure.revoke(Time::from_millis(*at_ms)),
+            }
+        }
+        let (name, ends_at_ms) = (case.name, case.ends_at_ms);
+        assert!(tenure.permits(Time::from_millis(ends_at_ms - 1)), "{name}");
+        assert!(!tenure.permits(Time::from_millis(ends_at_ms)), "{name}");
+    }
+}
+
 /// A fault injected into the cell.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     TakeOver,
+    TakeOverBeside,
+    DisconnectStale(usize),
+    ReconnectStale(usize),
     Disconnect(usize),
     Reconnect(usize),
     Restart(usize),
@@ -97,8 +260,11 @@
         let fault = |g: &mut Gen| {
             let worker = usize::arbitrary(g) % 4;
             let delay_ms = u64::arbitrary(g) % 2_500;
-            let fault = match u8::arbitrary(g) % 8 {
+            let fault = match u8::arbitrary(g) % 11 {
                 0 | 1 => Fault::TakeOver,
+                8 => Fault::TakeOverBeside,
+                9 => Fault::DisconnectStale(worker),
+                10 => Fault::ReconnectStale(worker),
                 2 => Fault::Disconnect(worker),
                 3 => Fault::Reconnect(worker),
                 4 => Fault::Restart(worker),
@@ -142,6 +308,9 @@
         world.record_done_tasks();
         match *fault {
             Fault::TakeOver => world.take_over(true),
+            Fault::TakeOverBeside => world.take_over_beside_stale_owner(),
+            Fault::DisconnectStale(worker) => world.workers[worker].unreachable_to_stale = true,
+            Fault::ReconnectStale(worker) => world.workers[worker].unreachable_to_stale = false,
             Fault::Disconnect(worker) => world.workers[worker].unreachable = true,
             Fault::Reconnect(worker) => world.workers[worker].unreachable = false,
             Fault::Restart(worker) => world.restart_worker(worker),
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -11,7 +11,7 @@
 use chestnutlug::workflow::record::{WorkflowProgress, WorkflowRecord, WorkflowState};
 use chestnutlug::workflow::{
     CommitBatch, Effect, Engine, EngineConfig, PermitLatency, QueuePolicy, ReplyToken, StepSpec,
-    TaskId, WorkerKey, WorkflowId, WorkflowSpec,
+    TaskId, Tenure, WorkerKey, WorkflowId, WorkflowSpec, predecessor_ends_at,
 };
 
 use crate::crash_world::Crashes;
@@ -27,6 +27,9 @@
 
 pub const LEASE_MS: u64 = 5_000;
 
+/// The interval between two writes of an owner without changes.
+const HEARTBEAT_MS: u64 = 500;
+
 /// A run on a worker.
 #[derive(Clone, Debug)]
 struct Run {
@@ -49,8 +52,12 @@
     highest_runs: HashMap<TaskId, u32>,
     ended: Vec<EndedRun>,
     last_sequence: u64,
+    /// The number of stop requests and of polls that acknowledged ended runs.
+    stops_and_acks: u64,
     /// Whether requests to the worker are lost.
     pub unreachable: bool,
+    /// Whether requests of the stale owner to the worker are lost.
+    pub unreachable_to_stale: bool,
     /// How long a stop takes, in milliseconds.
     pub stop_ms: u64,
     /// Whether the worker process has crashed, so that connections to it are refused.
@@ -65,10 +72,19 @@
     Start(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
     Stop(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
     Permits(chestnutlug::workflow::StepId, Vec<WorkerName>),
-    Committed(Box<CommitBatch>),
+    /// A batch that was sent at this time, in milliseconds.
+    Committed(Box<CommitBatch>, u64),
     NotCommitted(Box<CommitBatch>),
 }
 
+/// An owner that has been replaced and does not know it, because it is cut off from the store.
+pub struct StaleOwner {
+    engine: Engine,
+    scheduled: Vec<(u64, ScheduledEvent)>,
+    /// Whether its process is frozen.
+    pub frozen: bool,
+}
+
 /// The simulated cell.
 pub struct World {
     pub engine: Engine,
@@ -100,6 +116,11 @@
     scheduled: Vec<(u64, ScheduledEvent)>,
     epoch: u64,
     committing: bool,
+    /// When the last write that took effect was sent.
+    last_write_ms: u64,
+    pub stale: Option<StaleOwner>,
+    /// Whether the stale owner acts now.
+    stale_acts: bool,
 }
 
 pub fn queue(permits: bool) -> QueuePolicy {
@@ -134,7 +155,7 @@
     pub fn new(workers: u32, permits: bool) -> Self {
         let queue = queue(permits);
         let mut world = Self {
-            engine: Engine::new(config(), 1),
+            engine: Engine::new(config(), 1, Tenure::begin(Time::from_millis(1_000))),
             now_ms: 1_000,
             workers: (0..workers).map(fake_worker).collect(),
             records: BTreeMap::new(),
@@ -156,6 +177,9 @@
             scheduled: Vec::new(),
             epoch: 1,
             committing: false,
+            last_write_ms: 1_000,
+            stale: None,
+            stale_acts: false,
         };
         world.engine.set_queues(vec![world.queue.clone()]);
         world.list_workers();
@@ -206,16 +230,18 @@
         self.epoch += 1;
         self.committing = false;
         self.scheduled.clear();
-        self.engine = Engine::new(config(), self.epoch);
+        let now = self.now();
+        self.engine = Engine::new(config(), self.epoch, Tenure::begin(now));
+        let predecessor_ends_at = predecessor_ends_at(Time::from_millis(self.last_write_ms));
+        self.last_write_ms = self.now_ms;
         if queues_known {
             self.engine.set_queues(vec![self.queue.clone()]);
         }
         self.list_workers();
-        let now = self.now();
         for listing in self.stored_workers.clone() {
             self.engine.restore_worker(listing, now);
         }
-        self.engine.begin_recovery(now);
+        self.engine.begin_recovery(predecessor_ends_at.max(now));
         for (id, record) in &self.records {
             let progress = self.progress.get(id).cloned().unwrap_or_default();
             self.engine
@@ -223,6 +249,26 @@
         }
     }
 
+    /// Replaces the engine, and lets the previous owner go on without the store.
+    pub fn take_over_beside_stale_owner(&mut self) {
+        let engine = Engine::new(config(), self.epoch, Tenure::begin(Time::default()));
+        let stale = StaleOwner {
+            engine: std::mem::replace(&mut self.engine, engine),
+            scheduled: std::mem::take(&mut self.scheduled),
+            frozen: false,
+        };
+        self.take_over(true);
+        self.stale = Some(stale);
+    }
+
+    /// Cancels a workflow at the stale owner.
+    pub fn cancel_at_stale_owner(&mut self, id: u64) {
+        let now = self.now();
+        if let Some(stale) = &mut self.stale {
+            stale.engine.cancel(WorkflowId(id), None, now);
+        }
+    }
+
     /// Restarts a worker process, which loses its runs. The engine does not see the restart in the
     /// platform's list yet.
     pub fn restart_worker_unnoticed(&mut self, index: usize) {
@@ -255,6 +301,48 @@
         for worker in &mut self.workers {
             worker.end_due_runs(now_ms);
         }
+        self.run_stale_owner();
+        self.run_engine();
+        let heartbeat_due = now_ms - self.last_write_ms >= HEARTBEAT_MS;
+        if !self.committing && !self.store_fails && heartbeat_due {
+            self.renew_tenure(now_ms);
+        }
+        if !self.committing
+            && let Some(batch) = self.engine.take_batch(89)
+        {
+            self.committing = true;
+            let event = if self.store_fails {
+                ScheduledEvent::NotCommitted(Box::new(batch))
+            } else {
+                ScheduledEvent::Committed(Box::new(batch), now_ms)
+            };
+            self.scheduled.push((now_ms + self.commit_ms, event));
+        }
+    }
+
+    fn renew_tenure(&mut self, sent_ms: u64) {
+        self.last_write_ms = sent_ms;
+        self.engine.renew_tenure(Time::from_millis(sent_ms));
+    }
+
+    /// Lets the stale owner handle its events; its transactions get no response.
+    fn run_stale_owner(&mut self) {
+        let Some(mut stale) = self.stale.take_if(|stale| !stale.frozen) else {
+            return;
+        };
+        self.stale_acts = true;
+        std::mem::swap(&mut self.engine, &mut stale.engine);
+        std::mem::swap(&mut self.scheduled, &mut stale.scheduled);
+        self.run_engine();
+        std::mem::swap(&mut self.engine, &mut stale.engine);
+        std::mem::swap(&mut self.scheduled, &mut stale.scheduled);
+        self.stale_acts = false;
+        self.stale = Some(stale);
+    }
+
+    /// Delivers the events that are due to the engine, and applies its effects.
+    fn run_engine(&mut self) {
+        let now_ms = self.now_ms;
         let (due, rest) = std::mem::take(&mut self.scheduled)
             .into_iter()
             .partition(|(at, _)| *at <= now_ms);
@@ -268,17 +356,6 @@
         for effect in self.engine.take_effects() {
             self.apply_effect(effect);
         }
-        if !self.committing
-            && let Some(batch) = self.engine.take_batch(89)
-        {
-            self.committing = true;
-            let event = if self.store_fails {
-                ScheduledEvent::NotCommitted(Box::new(batch))
-            } else {
-                ScheduledEvent::Committed(Box::new(batch))
-            };
-            self.scheduled.push((now_ms + self.commit_ms, event));
-        }
     }
 
     fn deliver(&mut self, event: ScheduledEvent) {
@@ -310,7 +387,11 @@
                 self.engine
                     .handle_permit_response(step, &requested, Ok(permits), now);
             }
-            ScheduledEvent::Committed(batch) => self.commit(&batch),
+            ScheduledEvent::Committed(..) | ScheduledEvent::NotCommitted(_) if self.stale_acts => {}
+            ScheduledEvent::Committed(batch, sent_ms) => {
+                self.renew_tenure(sent_ms);
+                self.commit(&batch);
+            }
             ScheduledEvent::NotCommitted(batch) => {
                 self.committing = false;
                 self.engine.handle_commit_failure(&batch);
@@ -409,7 +490,14 @@
     fn worker(&mut self, target: &WorkerTarget) -> Option<&mut FakeWorker> {
         let found = self.workers.iter_mut();
         let mut found = found.filter(|worker| worker.listing.name == target.name);
-        found.next().filter(|worker| !worker.unreachable)
+        let stale_acts = self.stale_acts;
+        found.next().filter(|worker| {
+            if stale_acts {
+                !worker.unreachable_to_stale
+            } else {
+                !worker.unreachable
+            }
+        })
     }
 
     /// Passes a start request to its worker and checks the invariants of starts.
@@ -545,7 +633,9 @@
         highest_runs: HashMap::new(),
         ended: Vec::new(),
         last_sequence: 0,
+        stops_and_acks: 0,
         unreachable: false,
+        unreachable_to_stale: false,
         stop_ms: 0,
         is_down: false,
         next_end: RunEnd::Done,
@@ -570,6 +660,12 @@
         }
     }
 
+    /// What owners have changed on the worker besides starting runs: the end of the lease, and the
+    /// number of stops and acknowledgements.
+    pub fn orders(&self) -> (u64, u64) {
+        (self.lease_until_ms, self.stops_and_acks)
+    }
+
     pub fn running(&self) -> usize {
         self.runs.len()
     }
@@ -632,6 +728,7 @@
     ) -> Result<PollResponse, ExecutorError> {
         self.check_fencing_token(target)?;
         self.lease_until_ms = self.lease_until_ms.max(request.lease_until_ms.unwrap_or(0));
+        self.stops_and_acks += u64::from(request.acknowledged > 0);
         self.ended
             .retain(|ended| ended.sequence > request.acknowledged);
         let running = self.runs.iter().map(|(task, run)| ActiveRun {
@@ -684,6 +781,7 @@
         now_ms: u64,
     ) -> Result<u64, ExecutorError> {
         self.check_fencing_token(target)?;
+        self.stops_and_acks += 1;
         let highest_run = self.highest_runs.entry(task).or_default();
         *highest_run = (*highest_run).max(run);
         if let Some(active) = self.runs.get_mut(&task)
