--- a/src/coordinator/elector.rs
+++ b/src/coordinator/elector.rs
@@ -332,6 +332,9 @@
         let epoch = writer.owner.epoch;
         let mut engine = Engine::new(self.cfg, epoch, tenure);
         engine.set_queues(self.queues.borrow().clone());
+        for (part, workers) in snapshot.workers {
+            engine.restore_workers(part, workers, now);
+        }
         for change in listed.items {
             match change {
                 WorkerChange::Listed(listing) if self.has_worker(&listing.name) => {
@@ -340,15 +343,12 @@
                 WorkerChange::Listed(_) | WorkerChange::Unlisted(_) => {}
             }
         }
-        for listing in snapshot.workers {
-            engine.restore_worker(listing, now);
-        }
         if epoch > 1 {
             engine.begin_recovery(ends_at.max(now));
         }
         let workflows = snapshot.workflows.len();
-        for (id, record, progress) in snapshot.workflows {
-            engine.load_workflow(id, record, &progress, now);
+        for (id, record, parts) in snapshot.workflows {
+            engine.load_workflow(id, record, parts, now);
         }
         tracing::info!(
             shard = self.shard.0,
@@ -433,7 +433,7 @@
                     return None;
                 }
                 // The observer has logged the failure.
-                Err(WriteError::NotDone) => {}
+                Err(WriteError::NotDone | WriteError::Rejected { .. }) => {}
             }
         }
     }
--- a/src/coordinator/fenced_writer.rs
+++ b/src/coordinator/fenced_writer.rs
@@ -13,14 +13,23 @@
     Record, RecordKey, SharedRecordStore, StoreCall, StoreError, StoreReply, Transaction,
 };
 use crate::workflow::record::{self, WorkflowRecord};
-use crate::workflow::{CommitBatch, WorkflowId};
+use crate::workflow::{BatchLimits, CommitBatch, WorkflowId};
 
 /// The delay before a transaction is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The maximum number of entries of a batch. A transaction holds at most 100, of which the owner record
-/// takes two and the list of workers one.
-pub(super) const MAX_BATCH_ENTRIES: usize = 97;
+/// takes two.
+pub(super) const MAX_BATCH_ENTRIES: usize = 98;
+
+/// The maximum size of the records in a transaction, which is limited to 1 MB.
+pub(super) const MAX_BATCH_BYTES: usize = 800_000;
+
+/// The limits of a batch.
+pub(super) const BATCH_LIMITS: BatchLimits = BatchLimits {
+    entries: MAX_BATCH_ENTRIES,
+    bytes: MAX_BATCH_BYTES,
+};
 
 /// How often a transaction is sent that the store did not apply. Two tries bridge a short disturbance
 /// without refusing workflows; a longer one is detected within a quarter of the shortest latency
@@ -36,6 +45,10 @@
     /// The store did not apply the transaction, and will not apply it later.
     #[error("the store did not take the transaction")]
     NotDone,
+    /// The store will never apply this batch: it rejected the batch and then applied a transaction
+    /// without it, which was sent at `sent_at`.
+    #[error("the store rejects the batch")]
+    Rejected { sent_at: Time },
 }
 
 /// The outcome of a committed batch.
@@ -126,16 +139,30 @@
         };
         self.owner.transaction += 1;
         self.owner.released = released;
+        let heartbeat = CommitBatch::default();
+        // The number of the rejected transaction. After a rejection the owner record is written
+        // alone, which shows whether the batch was the reason.
+        let mut rejected = None;
         let mut failures = 0;
         // Whether a transaction of this batch may still take effect.
         let mut outcome_unknown = false;
         loop {
-            let transaction = match self.transaction(batch, &outcome) {
+            let contents = if rejected.is_some() {
+                &heartbeat
+            } else {
+                batch
+            };
+            let transaction = match self.transaction(contents, &outcome) {
                 Ok(transaction) => transaction,
+                Err(error) if rejected.is_none() => {
+                    tracing::error!(%error, "cannot encode a batch of workflow changes");
+                    rejected = Some(self.owner.transaction);
+                    self.owner.transaction += 1;
+                    continue;
+                }
                 Err(error) => {
-                    tracing::error!(%error,
-                        "cannot encode a batch of workflow changes; the batch is dropped");
-                    return Ok(outcome);
+                    tracing::error!(%error, "cannot encode the record of a shard's owner");
+                    return Err(WriteError::NotDone);
                 }
             };
             let call = StoreCall::Commit(transaction);
@@ -144,15 +171,29 @@
                 Ok(StoreReply::Committed { version }) => {
                     self.version = version;
                     observer.on_success();
+                    if rejected.is_some() {
+                        let sent_at = outcome.sent_at;
+                        return Err(WriteError::Rejected { sent_at });
+                    }
                     return Ok(outcome);
                 }
                 Ok(StoreReply::Conflict { records }) => {
                     observer.on_success();
                     outcome_unknown = false;
-                    if self.resolve_conflict(&records, &mut outcome)? {
+                    let applied = self.resolve_conflict(&records, rejected, &mut outcome)?;
+                    if applied.is_some() {
                         // It is not known which try took effect.
                         outcome.sent_at = first_sent_at;
-                        return Ok(outcome);
+                    }
+                    match applied {
+                        Some(number) if Some(number) == rejected || rejected.is_none() => {
+                            return Ok(outcome);
+                        }
+                        Some(_) => {
+                            let sent_at = outcome.sent_at;
+                            return Err(WriteError::Rejected { sent_at });
+                        }
+                        None => {}
                     }
                 }
                 Ok(other) => {
@@ -162,10 +203,18 @@
                     );
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
+                Err(StoreError::Rejected(reason)) if rejected.is_none() && !batch.is_empty() => {
+                    tracing::error!(
+                        reason,
+                        "the store rejects a batch of workflow changes; isolating the cause"
+                    );
+                    rejected = Some(self.owner.transaction);
+                    self.owner.transaction += 1;
+                }
                 Err(error) => {
                     observer.on_failure(&error);
                     failures += 1;
-                    outcome_unknown |= !matches!(error, StoreError::NotDone(_));
+                    outcome_unknown |= matches!(error, StoreError::Unknown(_));
                     if !outcome_unknown && failures >= MAX_TRIES_NOT_DONE {
                         return Err(WriteError::NotDone);
                     }
@@ -175,13 +224,15 @@
         }
     }
 
-    /// Resolves a conflict: true if an earlier try of the transaction took effect, false if it has to be
-    /// retried with the updated version and without the existing workflows.
+    /// Resolves a conflict. Returns the number of the current transaction, or of the `rejected` one
+    /// before it, if a try of it took effect; otherwise the transaction has to be retried with the
+    /// updated version and without the existing workflows.
     fn resolve_conflict(
         &mut self,
         records: &[Record],
+        rejected: Option<u64>,
         outcome: &mut WriteOutcome,
-    ) -> Result<bool, WriteError> {
+    ) -> Result<Option<u64>, WriteError> {
         let key = layout::owner_key(self.shard);
         let record = records.iter().find(|record| record.key == key);
         let found = record
@@ -192,11 +243,10 @@
         if !found.is_same_process(&self.owner) || found.epoch != self.owner.epoch {
             return Err(WriteError::Fenced);
         }
-        if found.transaction == self.owner.transaction {
-            self.version = version;
-            return Ok(true);
-        }
         self.version = version;
+        if found.transaction == self.owner.transaction || Some(found.transaction) == rejected {
+            return Ok(Some(found.transaction));
+        }
         for record in records
             .iter()
             .filter(|record| record.key.table == layout::WORKFLOWS)
@@ -206,7 +256,7 @@
                 outcome.existing.push((id, record));
             }
         }
-        Ok(false)
+        Ok(None)
     }
 
     fn transaction(
@@ -227,16 +277,28 @@
                 .push((layout::workflow_key(shard, *id), 0));
             put(&mut transaction, layout::workflow_key(shard, *id), record)?;
         }
-        for (id, progress) in &batch.progress {
-            put(&mut transaction, layout::progress_key(shard, *id), progress)?;
+        for (id, part, progress) in &batch.progress {
+            let key = layout::progress_key(shard, *id, *part);
+            put(&mut transaction, key, progress)?;
         }
         for (id, state) in &batch.ended {
             let record = WorkflowRecord::Ended(*state);
             put(&mut transaction, layout::workflow_key(shard, *id), &record)?;
-            transaction.removals.push(layout::progress_key(shard, *id));
+            transaction
+                .removals
+                .push(layout::progress_key(shard, *id, 0));
         }
-        if let Some(workers) = &batch.workers {
-            put(&mut transaction, layout::workers_key(shard), workers)?;
+        for (id, part) in &batch.obsolete {
+            let key = layout::progress_key(shard, *id, *part);
+            transaction.removals.push(key);
+        }
+        for (part, workers) in &batch.workers {
+            let key = layout::workers_key(shard, *part);
+            if workers.is_empty() {
+                transaction.removals.push(key);
+            } else {
+                put(&mut transaction, key, workers)?;
+            }
         }
         Ok(transaction)
     }
--- a/src/coordinator/layout.rs
+++ b/src/coordinator/layout.rs
@@ -96,9 +96,10 @@
     RecordKey::new(OWNERS, &shard_partition(shard), SINGLETON_KEY)
 }
 
-/// The key of the list of a shard's workers.
-pub(super) fn workers_key(shard: ShardId) -> RecordKey {
-    RecordKey::new(WORKERS, &shard_partition(shard), SINGLETON_KEY)
+/// The key of a part of the list of a shard's workers.
+pub(super) fn workers_key(shard: ShardId, part: u32) -> RecordKey {
+    let key = part_key(SINGLETON_KEY.to_owned(), part.into());
+    RecordKey::new(WORKERS, &shard_partition(shard), key)
 }
 
 /// The key of a workflow.
@@ -106,9 +107,34 @@
     RecordKey::new(WORKFLOWS, &shard_partition(shard), id.to_string())
 }
 
-/// The key of a workflow's progress.
-pub(super) fn progress_key(shard: ShardId, id: WorkflowId) -> RecordKey {
-    RecordKey::new(PROGRESS, &shard_partition(shard), id.to_string())
+/// The key of a part of a workflow's progress.
+pub(super) fn progress_key(shard: ShardId, id: WorkflowId, part: u64) -> RecordKey {
+    RecordKey::new(
+        PROGRESS,
+        &shard_partition(shard),
+        part_key(id.to_string(), part),
+    )
+}
+
+/// The range of keys of the parts of a workflow's progress: the first key and the exclusive end.
+pub(super) fn progress_key_range(id: WorkflowId) -> (String, String) {
+    (id.to_string(), format!("{id}/"))
+}
+
+/// The key of a part; that of the first part is the key of the whole.
+fn part_key(whole: String, part: u64) -> String {
+    match part {
+        0 => whole,
+        part => format!("{whole}.{part}"),
+    }
+}
+
+/// Parses the number of the part from the key of a part.
+pub(super) fn part_of(key: &RecordKey) -> Option<u64> {
+    match key.key.split_once('.') {
+        Some((_, part)) => part.parse().ok(),
+        None => Some(0),
+    }
 }
 
 /// The key of an entry in the inbox `partition`.
--- a/src/coordinator/outbox.rs
+++ b/src/coordinator/outbox.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::fenced_writer::encode;
+use super::fenced_writer::{MAX_BATCH_BYTES, encode};
 use super::layout::{self, InboxEntry};
 use super::reader::CALL_TIMEOUT;
 use super::shards::ShardId;
@@ -20,9 +20,9 @@
     SharedRecordStore, StoreCall, StoreError, StoreReply, Transaction,
 };
 use crate::workflow::WorkflowId;
+use crate::workflow::record::{self, text_len};
 
-/// The maximum number of entries in one transaction: half of what the store allows, since a workflow
-/// takes up to 20 KB and a transaction is limited to 1 MB.
+/// The maximum number of entries in one transaction.
 const MAX_ENTRIES: usize = 48;
 
 /// The delay before each transaction, in which entries accumulate. With it, seven VMs with one
@@ -44,6 +44,19 @@
     writing: bool,
 }
 
+/// The number of entries, at least one, that fit in one transaction.
+fn batch_len(entries: &[PendingEntry]) -> usize {
+    let mut bytes = 0;
+    let fits = |pending: &&PendingEntry| {
+        // An entry that cannot be encoded is found when the transaction is.
+        let len = record::encoded_len(&pending.entry).unwrap_or(0);
+        bytes += text_len(len);
+        bytes <= MAX_BATCH_BYTES
+    };
+    let count = entries.iter().take(MAX_ENTRIES).take_while(fits).count();
+    count.max(1).min(entries.len())
+}
+
 /// Writes inbox entries.
 #[derive(Clone)]
 pub(super) struct Outbox {
@@ -103,7 +116,7 @@
                 let queue = queues.entry(shard).or_default();
                 // Entries whose callers have timed out before the write are dropped.
                 queue.entries.retain(|entry| !entry.tx.is_closed());
-                let count = queue.entries.len().min(MAX_ENTRIES);
+                let count = batch_len(&queue.entries);
                 let entries: Vec<PendingEntry> = queue.entries.drain(..count).collect();
                 queue.writing = !entries.is_empty();
                 entries
@@ -118,6 +131,10 @@
                 ?result,
                 "a write of entries to an inbox of the shard is finished"
             );
+            if matches!(result, Err(StoreError::Rejected(_))) && entries.len() > 1 {
+                self.write_one_by_one(shard, entries).await;
+                continue;
+            }
             for entry in entries {
                 // The receiver may have timed out.
                 let _ = entry.tx.send(result.clone());
@@ -125,6 +142,22 @@
         }
     }
 
+    /// Writes the entries of a rejected transaction, of which one may be the reason, in a transaction
+    /// each.
+    async fn write_one_by_one(&self, shard: ShardId, entries: Vec<PendingEntry>) {
+        for entry in entries {
+            let result = self
+                .write_entries(shard, std::slice::from_ref(&entry))
+                .await;
+            if let Err(error) = &result {
+                tracing::error!(request = %entry.id, %error,
+                    "the store does not take an inbox entry of a rejected transaction");
+            }
+            // The receiver may have timed out.
+            let _ = entry.tx.send(result);
+        }
+    }
+
     /// Writes the entries to the first inbox that accepts them.
     async fn write_entries(
         &self,
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -12,7 +12,7 @@
 
 use super::cluster_view::ClusterView;
 use super::event::{Event, FinishedWrite, OwnerRequest, OwnershipEnd};
-use super::fenced_writer::{FencedWriter, MAX_BATCH_ENTRIES, WriteError};
+use super::fenced_writer::{BATCH_LIMITS, FencedWriter, WriteError};
 use super::layout::InboxEntry;
 use super::message::{Member, WorkflowReply};
 use super::permit_queue::{PermitQueue, PermitRequest};
@@ -357,6 +357,7 @@
             Ok(_) => metrics.count(Counter::TableCommits, 1),
             Err(WriteError::Fenced) => metrics.count(Counter::TableConflicts, 1),
             Err(WriteError::NotDone) => metrics.count(Counter::TableErrors, 1),
+            Err(WriteError::Rejected { .. }) => metrics.count(Counter::TableRejections, 1),
         }
         let released = write.writer.owner.released;
         self.writer = Some(write.writer);
@@ -375,6 +376,11 @@
                 self.engine.handle_commit_failure(batch);
                 return;
             }
+            Err(WriteError::Rejected { sent_at }) => {
+                self.engine.renew_tenure(sent_at);
+                self.engine.handle_commit_rejection(batch, now);
+                return;
+            }
             Err(WriteError::Fenced) => {
                 tracing::warn!(
                     age_ms = now.since(self.last_commit).as_millis(),
@@ -456,7 +462,7 @@
         if self.writer.is_none() || (elapsed < interval && !releasing) {
             return;
         }
-        let batch = self.engine.take_batch(MAX_BATCH_ENTRIES);
+        let batch = self.engine.take_batch(BATCH_LIMITS);
         if batch.is_none() && elapsed < HEARTBEAT_INTERVAL && !releasing {
             return;
         }
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -1,5 +1,6 @@
 //! Reads workflows, owner records and inbox entries from the store.
 
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -21,11 +22,15 @@
 /// The maximum number of records per page.
 const PAGE_SIZE: u32 = 500;
 
+/// The parts of a workflow's progress, by number.
+pub(super) type ProgressParts = Vec<(u64, WorkflowProgress)>;
+
 /// All records that a new owner of a shard loads.
 #[derive(Debug, Default)]
 pub(super) struct ShardSnapshot {
-    pub(super) workflows: Vec<(WorkflowId, WorkflowRecord, WorkflowProgress)>,
-    pub(super) workers: Vec<WorkerListing>,
+    pub(super) workflows: Vec<(WorkflowId, WorkflowRecord, ProgressParts)>,
+    /// The parts of the list of workers.
+    pub(super) workers: Vec<(u32, Vec<WorkerListing>)>,
     pub(super) inbox_entries: Vec<InboxRecord>,
 }
 
@@ -92,20 +97,38 @@
         let read_error = inboxes.into_iter().find_map(Result::err);
         return read_error.map_or(Ok(None), Err);
     }
-    let progress = read_one(store, &layout::progress_key(shard, id)).await?;
-    let progress = progress.and_then(|record| decode::<WorkflowProgress>(&record));
-    let cancelled = has_entry(|entry| *entry == InboxEntry::Cancelled)
-        || progress.as_ref().is_some_and(|progress| progress.cancelled);
+    let cancelled = has_entry(|entry| *entry == InboxEntry::Cancelled);
     Ok(Some(if cancelled {
         WorkflowState::Cancelled
-    } else if progress.is_some() {
+    } else if has_progress(store, shard, id).await? {
         WorkflowState::Running
     } else {
         WorkflowState::Queued
     }))
 }
 
-/// Reads all records of a shard that a new owner needs.
+/// Whether the store has any part of the progress of a workflow.
+async fn has_progress(
+    store: &SharedRecordStore,
+    shard: ShardId,
+    id: WorkflowId,
+) -> Result<bool, StoreError> {
+    let (from, to) = layout::progress_key_range(id);
+    let call = StoreCall::Scan {
+        table: layout::PROGRESS.to_owned(),
+        partition: layout::shard_partition(shard),
+        from,
+        to: Some(to),
+        limit: 1,
+    };
+    match store.call(&call, CALL_TIMEOUT).await? {
+        StoreReply::Records { records, .. } => Ok(!records.is_empty()),
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Reads all records of a shard that a new owner needs. A workflow with a record that cannot be
+/// decoded is left out, because its tasks may be running or done.
 pub(super) async fn read_all(
     store: &SharedRecordStore,
     shard: ShardId,
@@ -114,26 +137,47 @@
     let partition = layout::shard_partition(shard);
     let workflows = scan(store, layout::WORKFLOWS, &partition).await?;
     let progress = scan(store, layout::PROGRESS, &partition).await?;
-    let workers = read_one(store, &layout::workers_key(shard)).await?;
-    let mut progress_by_id: std::collections::HashMap<WorkflowId, WorkflowProgress> = progress
-        .iter()
-        .filter_map(|record| Some((workflow_id(record)?, decode::<WorkflowProgress>(record)?)))
-        .collect();
+    let workers = scan(store, layout::WORKERS, &partition).await?;
+    let mut unreadable = HashSet::new();
+    let mut parts: HashMap<WorkflowId, ProgressParts> = HashMap::new();
+    for record in &progress {
+        let Some(id) = workflow_id(record) else {
+            continue;
+        };
+        match (layout::part_of(&record.key), decode(record)) {
+            (Some(part), Some(progress)) => parts.entry(id).or_default().push((part, progress)),
+            _ => {
+                unreadable.insert(id);
+            }
+        }
+    }
     for inbox_record in &inbox_entries {
         if inbox_record.entry == InboxEntry::Cancelled {
-            progress_by_id.entry(inbox_record.id).or_default().cancelled = true;
+            let cancelled = WorkflowProgress {
+                cancelled: true,
+                ..WorkflowProgress::default()
+            };
+            let parts = parts.entry(inbox_record.id).or_default();
+            parts.push((0, cancelled));
         }
     }
     let workflows = workflows.iter().filter_map(|record| {
         let id = workflow_id(record)?;
         let record = decode::<WorkflowRecord>(record)?;
-        Some((id, record, progress_by_id.remove(&id).unwrap_or_default()))
+        if unreadable.contains(&id) && !matches!(record, WorkflowRecord::Ended(_)) {
+            tracing::error!(request = %id,
+                "the progress of a workflow cannot be read; leaving the workflow out");
+            return None;
+        }
+        Some((id, record, parts.remove(&id).unwrap_or_default()))
+    });
+    let workers = workers.iter().filter_map(|record| {
+        let part = u32::try_from(layout::part_of(&record.key)?).ok()?;
+        Some((part, decode(record)?))
     });
     Ok(ShardSnapshot {
         workflows: workflows.collect(),
-        workers: workers
-            .and_then(|record| decode(&record))
-            .unwrap_or_default(),
+        workers: workers.collect(),
         inbox_entries,
     })
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -72,6 +72,8 @@
         TableCommits = "table.commits",
         /// Transactions with a precondition that did not hold.
         TableConflicts = "table.conflicts",
+        /// Transactions that the table will never take, because of what they hold.
+        TableRejections = "table.rejections",
         /// Reads of single rows of the table and of pages of scans.
         TableReads = "table.reads",
         /// Calls to the table that failed or got no response.
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -1,9 +1,11 @@
 //! The in-memory state of a workflow that has not ended.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 use std::sync::Arc;
 
 use super::fleet::WorkerKey;
+use super::parts::PartMap;
 use super::policy::QueuePolicy;
 use super::record::{PlacedRun, StepProgress, WorkflowProgress, WorkflowState};
 use super::spec::{StepSpec, WorkflowSpec};
@@ -125,6 +127,33 @@
             .collect()
     }
 
+    /// The progress of the tasks in `range`; `process` looks up the names and processes of workers.
+    fn progress_of(
+        &self,
+        range: &Range<u32>,
+        process: impl Fn(WorkerKey) -> Option<(WorkerName, u64)>,
+    ) -> StepProgress {
+        let mut progress = self.progress.of_tasks(range);
+        progress.placed.clear();
+        for index in range.clone() {
+            let Some(task) = self.tasks.get(index as usize) else {
+                break;
+            };
+            if let TaskStatus::Placed(worker, run) = task.status
+                && let Some((worker, boot)) = process(worker)
+            {
+                progress.placed.push(PlacedRun {
+                    index,
+                    run,
+                    worker,
+                    boot,
+                });
+            }
+            progress.placed.extend(task.unverified.clone());
+        }
+        progress
+    }
+
     /// The number of tasks placed on `worker`.
     pub(super) fn count_on(&self, worker: WorkerKey) -> u32 {
         let tasks = self.tasks.iter();
@@ -170,6 +199,9 @@
     pub(super) steps: BTreeMap<(u32, u32), StepState>,
     /// The number of occurrences that have begun.
     pub(super) occurrences: u32,
+    pub(super) parts: PartMap,
+    /// The parts of the progress that may be in the store.
+    pub(super) stored_parts: BTreeSet<u64>,
 }
 
 impl ActiveWorkflow {
@@ -179,6 +211,8 @@
             policy: policy.clone(),
             accepted_at: now,
             deadline: now + policy.latency_objective(spec.critical_path_ms()),
+            parts: PartMap::new(&spec.steps),
+            stored_parts: BTreeSet::new(),
             spec: Arc::new(spec),
             recorded: false,
             from_inbox: false,
@@ -248,29 +282,15 @@
         self.is_done().then_some(WorkflowState::Complete)
     }
 
-    /// The progress to store; `process` looks up the names and processes of workers.
+    /// The progress to store in a part; `process` looks up the names and processes of workers.
     pub(super) fn progress(
         &self,
+        part: u64,
         process: impl Fn(WorkerKey) -> Option<(WorkerName, u64)>,
     ) -> WorkflowProgress {
-        let steps = self.steps.iter().map(|(key, state)| {
-            let placed = state
-                .placed()
-                .into_iter()
-                .filter_map(|(index, worker, run)| {
-                    let (worker, boot) = process(worker)?;
-                    Some(PlacedRun {
-                        index,
-                        run,
-                        worker,
-                        boot,
-                    })
-                });
-            let unverified = state.tasks.iter();
-            let unverified = unverified.filter_map(|task| task.unverified.clone());
-            let placed = placed.chain(unverified).collect();
-            let progress = state.progress.clone();
-            (*key, StepProgress { placed, ..progress })
+        let steps = self.parts.ranges(part).filter_map(|(key, range)| {
+            let state = self.steps.get(&key)?;
+            Some((key, state.progress_of(&range, &process)))
         });
         WorkflowProgress {
             cancelled: self.cancelled,
@@ -280,4 +300,14 @@
                 .collect(),
         }
     }
+
+    /// The parts that hold any of the progress.
+    pub(super) fn parts_of(&self, progress: &WorkflowProgress) -> BTreeSet<u64> {
+        let steps = progress.steps.iter();
+        let parts = steps.flat_map(|(key, step)| {
+            let indexes = step.indexes();
+            indexes.map(|index| self.parts.part_of(*key, index))
+        });
+        parts.collect()
+    }
 }
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -1,14 +1,19 @@
 //! The changes to commit to the store, and the handling of commit results.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+
+use serde::Serialize;
 
 use super::{Effect, Engine, ReplyToken};
 use crate::model::Time;
 use crate::port::executor::WorkerListing;
 use crate::workflow::fleet::WorkerKey;
-use crate::workflow::record::{WorkflowProgress, WorkflowRecord, WorkflowState};
+use crate::workflow::record::{self, WorkflowProgress, WorkflowRecord, WorkflowState, text_len};
 use crate::workflow::spec::{TaskId, WorkflowId};
 
+/// The number of changes in a batch from which on isolating a rejected change has ended.
+const MAX_ISOLATED_CHANGES: usize = 128;
+
 /// The acknowledgement of a worker's ended runs, which is sent once a batch is committed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndAck {
@@ -17,48 +22,87 @@
     sequence: u64,
 }
 
+/// The limits of one batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchLimits {
+    /// The maximum number of entries in the transaction.
+    pub entries: usize,
+    /// The maximum size of the records in the transaction, in bytes of their base64 text.
+    pub bytes: usize,
+}
+
 /// Changes that are committed in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CommitBatch {
     /// New workflows. A record that already exists is not overwritten.
     pub added: Vec<(WorkflowId, WorkflowRecord)>,
-    /// The progress of workflows, to be written.
-    pub progress: Vec<(WorkflowId, WorkflowProgress)>,
-    /// Workflows that have ended: their record is replaced, and their progress is removed.
+    /// Parts of the progress of workflows, to be written.
+    pub progress: Vec<(WorkflowId, u64, WorkflowProgress)>,
+    /// Workflows that have ended: their record is replaced, and the first part of their progress is
+    /// removed.
     pub ended: Vec<(WorkflowId, WorkflowState)>,
-    /// All workers that tasks may run on, if they changed.
-    pub workers: Option<Vec<WorkerListing>>,
+    /// Further parts of the progress of ended workflows, to be removed.
+    pub obsolete: Vec<(WorkflowId, u64)>,
+    /// The changed parts of the list of workers that tasks may run on. An empty part is removed.
+    pub workers: Vec<(u32, Vec<WorkerListing>)>,
     end_acks: Vec<EndAck>,
     /// Placed runs whose start requests are sent after the commit.
     starts: Vec<(WorkerKey, TaskId, u32)>,
+    /// The size of the records.
+    bytes: usize,
 }
 
 impl CommitBatch {
     /// The number of entries in the transaction: a precondition and a record for a new workflow, a
     /// record and a removal for one that has ended.
     fn entries(&self) -> usize {
-        2 * (self.added.len() + self.ended.len()) + self.progress.len()
+        2 * (self.added.len() + self.ended.len())
+            + self.progress.len()
+            + self.obsolete.len()
+            + self.workers.len()
+    }
+
+    /// The number of changes, each of which could be committed alone.
+    fn changes(&self) -> usize {
+        self.added.len()
+            + self.ended.len()
+            + self.progress.len()
+            + self.obsolete.len()
+            + self.workers.len()
     }
 
     /// Whether the batch contains no changes.
     pub fn is_empty(&self) -> bool {
-        self.added.is_empty()
-            && self.progress.is_empty()
-            && self.ended.is_empty()
-            && self.workers.is_none()
+        self.changes() == 0
+    }
+
+    /// Whether `entries` more with a record of `len` bytes fit.
+    fn has_room(&self, limits: &BatchLimits, entries: usize, len: usize) -> bool {
+        self.entries() + entries <= limits.entries && self.bytes + text_len(len) <= limits.bytes
     }
 }
 
+/// The size of a record. Values that cannot be encoded are found when the transaction is.
+fn record_len<T: Serialize>(record: &T) -> usize {
+    record::encoded_len(record).unwrap_or(0)
+}
+
 /// The changes that are not committed yet.
 #[derive(Debug, Default)]
 pub(super) struct CommitQueue {
     added: VecDeque<WorkflowId>,
-    changed: HashSet<WorkflowId>,
+    /// The changed parts of the progress of workflows; none for one that has only ended.
+    changed: HashMap<WorkflowId, BTreeSet<u64>>,
+    obsolete: BTreeSet<(WorkflowId, u64)>,
     submitters: HashMap<WorkflowId, Vec<ReplyToken>>,
     cancellers: HashMap<WorkflowId, Vec<ReplyToken>>,
-    workers_changed: bool,
+    /// The changed parts of the list of workers.
+    workers_changed: BTreeSet<u32>,
     in_flight: bool,
     assigned: Vec<(WorkerKey, TaskId, u32)>,
+    /// The maximum number of changes in the next batch, while one that the store rejects is being
+    /// isolated.
+    max_changes: Option<usize>,
 }
 
 impl CommitQueue {
@@ -77,17 +121,29 @@
         self.cancellers.entry(id).or_default().push(token);
     }
 
-    pub(super) fn add_run(&mut self, worker: WorkerKey, task: TaskId, run: u32) {
+    pub(super) fn add_run(&mut self, worker: WorkerKey, task: TaskId, run: u32, part: u64) {
         self.assigned.push((worker, task, run));
-        self.mark_changed(task.step.workflow);
+        self.mark_changed(task.step.workflow, part);
+    }
+
+    /// Marks a part of the progress of a workflow as changed.
+    pub(super) fn mark_changed(&mut self, id: WorkflowId, part: u64) {
+        self.changed.entry(id).or_default().insert(part);
+    }
+
+    /// Marks a workflow as ended.
+    pub(super) fn mark_ended(&mut self, id: WorkflowId) {
+        self.changed.entry(id).or_default();
     }
 
-    pub(super) fn mark_changed(&mut self, id: WorkflowId) {
-        self.changed.insert(id);
+    /// Removes a part of the progress of an ended workflow.
+    pub(super) fn remove_part(&mut self, id: WorkflowId, part: u64) {
+        self.obsolete.insert((id, part));
     }
 
-    pub(super) fn workers_changed(&mut self) {
-        self.workers_changed = true;
+    /// Marks a part of the list of workers as changed.
+    pub(super) fn workers_changed(&mut self, part: u32) {
+        self.workers_changed.insert(part);
     }
 
     /// Takes the new workflows that are not in a batch yet, with the callers that wait for them.
@@ -104,26 +160,31 @@
         let commit_queue = &self.commit_queue;
         !commit_queue.added.is_empty()
             || !commit_queue.changed.is_empty()
-            || commit_queue.workers_changed
+            || !commit_queue.obsolete.is_empty()
+            || !commit_queue.workers_changed.is_empty()
     }
 
-    /// Takes the next batch of changes, unless another batch is in flight. The batch takes up to
-    /// `max_entries` entries of a transaction, and one more if the list of workers changed.
-    pub fn take_batch(&mut self, max_entries: usize) -> Option<CommitBatch> {
+    /// Takes the next batch of changes, unless another batch is in flight.
+    pub fn take_batch(&mut self, limits: BatchLimits) -> Option<CommitBatch> {
         if self.commit_queue.in_flight || !self.has_changes() {
             return None;
         }
         let mut batch = CommitBatch::default();
-        if std::mem::take(&mut self.commit_queue.workers_changed) {
-            let workers = self.fleet.iter().map(|(_, worker)| worker.listing.clone());
-            batch.workers = Some(workers.collect());
+        self.take_workers(&mut batch, &limits);
+        // Runs are placed only on workers that are recorded.
+        if self.commit_queue.workers_changed.is_empty() {
+            // Up to half of the entries are for new workflows, so that callers do not wait long
+            // while the store is slow.
+            let half = BatchLimits {
+                entries: limits.entries / 2,
+                bytes: limits.bytes / 2,
+            };
+            self.take_added(&mut batch, &half);
+            self.take_changed(&mut batch, &limits);
+            self.take_assigned(&mut batch);
         }
-        // Up to half of the entries are for new workflows, so that callers do not wait long while
-        // the store is slow.
-        self.take_added(&mut batch, max_entries / 2);
-        self.take_changed(&mut batch, max_entries);
-        self.take_assigned(&mut batch);
-        self.take_added(&mut batch, max_entries);
+        self.take_added(&mut batch, &limits);
+        self.take_obsolete(&mut batch, &limits);
         if batch.is_empty() {
             return None;
         }
@@ -134,10 +195,31 @@
         Some(batch)
     }
 
-    fn take_changed(&mut self, batch: &mut CommitBatch, max_entries: usize) {
-        let changed: Vec<WorkflowId> = self.commit_queue.changed.iter().copied().collect();
+    /// Whether another change may be added to the batch.
+    fn may_add(&self, batch: &CommitBatch) -> bool {
+        let max = self.commit_queue.max_changes;
+        max.is_none_or(|max| batch.changes() < max)
+    }
+
+    fn take_workers(&mut self, batch: &mut CommitBatch, limits: &BatchLimits) {
+        while self.may_add(batch)
+            && let Some(part) = self.commit_queue.workers_changed.first().copied()
+        {
+            let workers = self.fleet.stored_part(part);
+            let len = record_len(&workers);
+            if !batch.is_empty() && !batch.has_room(limits, 1, len) {
+                return;
+            }
+            batch.bytes += text_len(len);
+            batch.workers.push((part, workers));
+            self.commit_queue.workers_changed.remove(&part);
+        }
+    }
+
+    fn take_changed(&mut self, batch: &mut CommitBatch, limits: &BatchLimits) {
+        let changed: Vec<WorkflowId> = self.commit_queue.changed.keys().copied().collect();
         for id in changed {
-            if batch.entries() + 2 > max_entries {
+            if !self.may_add(batch) || !batch.has_room(limits, 2, 0) {
                 return;
             }
             let Some(active) = self.active.get(&id) else {
@@ -148,42 +230,89 @@
             if !active.recorded {
                 continue;
             }
-            self.commit_queue.changed.remove(&id);
             match active.final_state() {
-                Some(state) => batch.ended.push((id, state)),
-                None => {
-                    let process = |key| Some(self.fleet.get(key)?.process());
-                    batch.progress.push((id, active.progress(process)));
+                Some(state) => {
+                    let further = active.stored_parts.iter().filter(|part| **part > 0);
+                    let further = further.map(|part| (id, *part));
+                    self.commit_queue.obsolete.extend(further);
+                    self.commit_queue.changed.remove(&id);
+                    batch.ended.push((id, state));
                 }
+                None => self.take_progress(id, batch, limits),
+            }
+        }
+    }
+
+    /// Takes the changed parts of the progress of a workflow. The first part comes last, because in a
+    /// record of an earlier program it holds the progress of all tasks.
+    fn take_progress(&mut self, id: WorkflowId, batch: &mut CommitBatch, limits: &BatchLimits) {
+        let parts = self.commit_queue.changed.get(&id);
+        let parts: Vec<u64> = parts.into_iter().flatten().rev().copied().collect();
+        for part in parts {
+            let Some(active) = self.active.get(&id) else {
+                return;
+            };
+            let process = |key| Some(self.fleet.get(key)?.process());
+            let progress = active.progress(part, process);
+            let len = record_len(&progress);
+            let fits = batch.is_empty() || batch.has_room(limits, 1, len);
+            if !fits || !self.may_add(batch) {
+                return;
+            }
+            if let Some(active) = self.active.get_mut(&id) {
+                active.stored_parts.insert(part);
+            }
+            batch.bytes += text_len(len);
+            batch.progress.push((id, part, progress));
+            if let Some(parts) = self.commit_queue.changed.get_mut(&id) {
+                parts.remove(&part);
             }
         }
+        self.commit_queue.changed.remove(&id);
     }
 
     /// Takes the runs whose placement is part of the batch.
     fn take_assigned(&mut self, batch: &mut CommitBatch) {
-        let in_batch: HashSet<WorkflowId> = batch.progress.iter().map(|(id, _)| *id).collect();
-        let assigned = std::mem::take(&mut self.commit_queue.assigned).into_iter();
-        let (taken, remaining) =
-            assigned.partition(|(_, task, _)| in_batch.contains(&task.step.workflow));
-        batch.starts = taken;
-        self.commit_queue.assigned = remaining;
+        let progress = batch.progress.iter();
+        let in_batch: HashSet<(WorkflowId, u64)> =
+            progress.map(|(id, part, _)| (*id, *part)).collect();
         // No runs start for a workflow that has ended or was refused.
         let active = &self.active;
-        let is_active = |task: &TaskId| active.contains_key(&task.step.workflow);
-        self.commit_queue
-            .assigned
-            .retain(|(_, task, _)| is_active(task));
+        let mut assigned = std::mem::take(&mut self.commit_queue.assigned);
+        assigned.retain(|(_, task, _)| active.contains_key(&task.step.workflow));
+        let is_taken = |(_, task, _): &(WorkerKey, TaskId, u32)| {
+            let id = task.step.workflow;
+            let active = active.get(&id);
+            active.is_some_and(|active| in_batch.contains(&(id, active.parts.part_of_task(*task))))
+        };
+        (batch.starts, self.commit_queue.assigned) = assigned.into_iter().partition(is_taken);
     }
 
-    fn take_added(&mut self, batch: &mut CommitBatch, max_entries: usize) {
-        while batch.entries() + 2 <= max_entries {
-            let Some(id) = self.commit_queue.added.pop_front() else {
-                return;
+    fn take_added(&mut self, batch: &mut CommitBatch, limits: &BatchLimits) {
+        while self.may_add(batch)
+            && let Some(id) = self.commit_queue.added.front().copied()
+        {
+            let Some(active) = self.active.get(&id) else {
+                self.commit_queue.added.pop_front();
+                continue;
             };
-            if let Some(active) = self.active.get(&id) {
-                let record = WorkflowRecord::Active(active.spec.as_ref().clone());
-                batch.added.push((id, record));
+            let record = WorkflowRecord::Active(active.spec.as_ref().clone());
+            let len = record_len(&record);
+            if !batch.is_empty() && !batch.has_room(limits, 2, len) {
+                return;
             }
+            batch.bytes += text_len(len);
+            batch.added.push((id, record));
+            self.commit_queue.added.pop_front();
+        }
+    }
+
+    fn take_obsolete(&mut self, batch: &mut CommitBatch, limits: &BatchLimits) {
+        while self.may_add(batch)
+            && batch.has_room(limits, 1, 0)
+            && let Some((id, part)) = self.commit_queue.obsolete.pop_first()
+        {
+            batch.obsolete.push((id, part));
         }
     }
 
@@ -227,6 +356,8 @@
         now: Time,
     ) {
         self.commit_queue.in_flight = false;
+        let max_changes = self.commit_queue.max_changes.map(|max| 2 * max);
+        self.commit_queue.max_changes = max_changes.filter(|max| *max < MAX_ISOLATED_CHANGES);
         self.send_starts(&batch.starts, now);
         for (id, _) in &batch.added {
             self.handle_recorded(*id, existing);
@@ -235,7 +366,7 @@
             self.set_ended(*id, *state);
             self.reply_cancelled(*id);
         }
-        if batch.workers.is_some() {
+        if !batch.workers.is_empty() {
             self.placement_due = true;
         }
         self.acknowledge(&batch.end_acks);
@@ -244,20 +375,85 @@
     /// Handles a batch that was not committed: its new workflows are refused, and the other changes
     /// are committed later.
     pub fn handle_commit_failure(&mut self, batch: &CommitBatch) {
-        self.commit_queue.in_flight = false;
         for (id, _) in &batch.added {
             let tokens = self.commit_queue.submitters.remove(id).unwrap_or_default();
             self.refuse(*id, tokens);
         }
-        for (id, _) in &batch.progress {
-            self.commit_queue.mark_changed(*id);
+        self.put_back(batch);
+    }
+
+    /// Handles a batch that the store will never take. Its changes are committed again in smaller
+    /// batches; a single change that is rejected is given up, so that it does not hold up the others.
+    pub fn handle_commit_rejection(&mut self, batch: &CommitBatch, now: Time) {
+        if batch.changes() > 1 {
+            for (id, _) in batch.added.iter().rev() {
+                self.commit_queue.added.push_front(*id);
+            }
+            self.put_back(batch);
+            self.commit_queue.max_changes = Some(batch.changes() / 2);
+            return;
+        }
+        self.commit_queue.in_flight = false;
+        for (id, _) in &batch.added {
+            self.give_up_record(*id);
+        }
+        for (id, part, _) in &batch.progress {
+            tracing::error!(request = %id, part,
+                "workflow failed, the store rejects the record of its progress; stopping all runs");
+            self.commit_queue.assigned.extend(&batch.starts);
+            if let Some(active) = self.active.get_mut(id) {
+                active.failed = true;
+            }
+            self.stop_all_runs(*id, now);
+            self.commit_queue.mark_ended(*id);
+        }
+        for (id, state) in &batch.ended {
+            tracing::error!(request = %id, ?state,
+                "the store rejects the record of an ended workflow; its end is not recorded");
+            self.set_ended(*id, *state);
+        }
+        for (part, workers) in &batch.workers {
+            tracing::error!(
+                part,
+                workers = workers.len(),
+                "the store rejects a part of the list of workers; using these workers without a record"
+            );
+        }
+        for (id, part) in &batch.obsolete {
+            tracing::error!(request = %id, part,
+                "the store rejects the removal of a part of an ended workflow's progress; it stays");
+        }
+    }
+
+    /// Gives up a new workflow whose record the store rejects.
+    fn give_up_record(&mut self, id: WorkflowId) {
+        let tokens = self.commit_queue.submitters.remove(&id).unwrap_or_default();
+        let from_inbox = self.active.get(&id).is_some_and(|active| active.from_inbox);
+        tracing::error!(request = %id, from_inbox,
+            "the store rejects the record of a new workflow; it will never run");
+        if from_inbox {
+            // Its caller was told that it is accepted, so it ends visibly and without a record.
+            self.set_ended(id, WorkflowState::Failed);
+            self.effects
+                .extend(tokens.into_iter().map(Effect::Accepted));
+        } else {
+            self.refuse(id, tokens);
+        }
+    }
+
+    /// Puts the changes of a batch back that was not committed, except for new workflows.
+    fn put_back(&mut self, batch: &CommitBatch) {
+        self.commit_queue.in_flight = false;
+        for (id, part, _) in &batch.progress {
+            self.commit_queue.mark_changed(*id, *part);
         }
         self.commit_queue.assigned.extend(&batch.starts);
         for (id, _) in &batch.ended {
-            self.commit_queue.mark_changed(*id);
+            self.commit_queue.mark_ended(*id);
         }
-        if batch.workers.is_some() {
-            self.commit_queue.workers_changed();
+        self.commit_queue.obsolete.extend(&batch.obsolete);
+        for (part, _) in &batch.workers {
+            self.commit_queue.workers_changed(*part);
         }
     }
 
--- a/src/workflow/engine/completion.rs
+++ b/src/workflow/engine/completion.rs
@@ -93,15 +93,13 @@
         }
         let placed = state.placed();
         // A gang is done as soon as one member is done.
-        let changed = if spec.gang {
-            (0..spec.tasks)
-                .filter(|index| state.set_done(*index))
-                .count()
-                > 0
+        let done = if spec.gang {
+            0..spec.tasks
         } else {
-            state.set_done(task.index)
+            task.index..task.index + 1
         };
-        if !changed {
+        let changed: Vec<u32> = done.filter(|index| state.set_done(*index)).collect();
+        if changed.is_empty() {
             return;
         }
         let is_step_done = state.remaining == 0;
@@ -114,7 +112,9 @@
                 }
             }
         }
-        self.commit_queue.mark_changed(id);
+        for index in changed {
+            self.mark_progress(task.step, index);
+        }
         if is_step_done {
             self.complete_step(task.step);
         }
@@ -145,7 +145,8 @@
             let counted = if spec.gang { 0 } else { task.index };
             let failures = state.progress.add_failure(counted, ended.run);
             if failures.is_some() {
-                self.commit_queue.mark_changed(id);
+                let part = active.parts.part_of(key, counted);
+                self.commit_queue.mark_changed(id, part);
             }
             if failures.is_some_and(|failures| failures >= max_failures) {
                 tracing::info!(request = %id, task = %task, failures,
--- a/src/workflow/engine/crashes.rs
+++ b/src/workflow/engine/crashes.rs
@@ -46,7 +46,8 @@
         let Some(crashes) = state.progress.add_crash(run) else {
             return;
         };
-        self.commit_queue.mark_changed(step.workflow);
+        let part = active.parts.part_of_task(task);
+        self.commit_queue.mark_changed(step.workflow, part);
         tracing::warn!(request = %step.workflow, %task, run = number, %worker, crashes,
             "worker crashed or fell silent soon after the start of a task; the task may be the cause");
         self.crashed_workers.insert(worker);
@@ -71,9 +72,10 @@
             return;
         }
         for (id, active) in &mut self.active {
-            for state in active.steps.values_mut() {
-                if state.progress.remove_crashes(&name, boot) {
-                    self.commit_queue.mark_changed(*id);
+            for (step, state) in &mut active.steps {
+                for index in state.progress.remove_crashes(&name, boot) {
+                    let part = active.parts.part_of(*step, index);
+                    self.commit_queue.mark_changed(*id, part);
                 }
             }
         }
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -32,7 +32,7 @@
 use crate::model::{QueueName, Time, WorkerName};
 use crate::port::executor::{PollRequest, StartRequest, WorkerTarget};
 
-pub use self::commit::{CommitBatch, EndAck};
+pub use self::commit::{BatchLimits, CommitBatch, EndAck};
 pub use self::submission::{CancelStatus, SubmitStatus};
 
 /// The number of run numbers that each owner may use; the runs of the next owner are numbered above
@@ -303,6 +303,14 @@
         u32::try_from(last_of_earlier_owners + 1).unwrap_or(u32::MAX)
     }
 
+    /// Marks the progress of a task as changed.
+    fn mark_progress(&mut self, step: StepId, index: u32) {
+        if let Some(active) = self.active.get(&step.workflow) {
+            let part = active.parts.part_of_task(step.task(index));
+            self.commit_queue.mark_changed(step.workflow, part);
+        }
+    }
+
     fn step_mut(&mut self, step: StepId) -> Option<&mut StepState> {
         let active = self.active.get_mut(&step.workflow)?;
         active.steps.get_mut(&(step.occurrence, step.step))
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -66,7 +66,8 @@
                 started_at: now,
             },
         );
-        self.commit_queue.add_run(key, task, run);
+        let part = active.parts.part_of_task(task);
+        self.commit_queue.add_run(key, task, run, part);
     }
 
     /// Sends the start requests of runs whose placement is committed. Those that were released in the
--- a/src/workflow/engine/submission.rs
+++ b/src/workflow/engine/submission.rs
@@ -1,5 +1,6 @@
 //! Submissions, cancellations, workflows loaded from the store, recovery, and occurrences.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::{Effect, Engine, Recovery, ReplyToken};
@@ -97,7 +98,7 @@
             active.cancelled = true;
             self.stop_all_runs(id, now);
         }
-        self.commit_queue.mark_changed(id);
+        self.commit_queue.mark_ended(id);
         if let Some(token) = token {
             self.commit_queue.await_cancellation(id, token);
         }
@@ -131,12 +132,12 @@
         self.effects.extend(tokens.into_iter().map(Effect::Refused));
     }
 
-    /// Loads a workflow from its records in the store.
+    /// Loads a workflow from its record and the parts of its progress in the store.
     pub fn load_workflow(
         &mut self,
         id: WorkflowId,
         record: WorkflowRecord,
-        progress: &WorkflowProgress,
+        parts: Vec<(u64, WorkflowProgress)>,
         now: Time,
     ) {
         match record {
@@ -144,8 +145,11 @@
                 if !self.active.contains_key(&id) {
                     self.ended.insert(id, state);
                 }
+                for (part, _) in parts {
+                    self.commit_queue.remove_part(id, part);
+                }
             }
-            WorkflowRecord::Active(spec) => self.load_active(id, spec, progress, now),
+            WorkflowRecord::Active(spec) => self.load_active(id, spec, parts, now),
         }
     }
 
@@ -153,7 +157,7 @@
         &mut self,
         id: WorkflowId,
         spec: WorkflowSpec,
-        progress: &WorkflowProgress,
+        parts: Vec<(u64, WorkflowProgress)>,
         now: Time,
     ) {
         if self.ended.contains_key(&id) {
@@ -163,16 +167,28 @@
             active.recorded = true;
             return;
         }
+        let stored_parts: BTreeSet<u64> = parts.iter().map(|(part, _)| *part).collect();
+        let mut progress = WorkflowProgress::default();
+        for (_, part) in parts {
+            progress.merge(part);
+        }
+        let progress = &progress;
         self.add_active(id, spec, progress, now);
         if let Some(active) = self.active.get_mut(&id) {
             active.recorded = true;
+            // A record of an earlier program holds the progress of all tasks.
+            let moved = active.parts_of(progress);
+            for part in moved.difference(&stored_parts) {
+                self.commit_queue.mark_changed(id, *part);
+            }
+            active.stored_parts = stored_parts;
             active.cancelled = progress.cancelled;
             active.failed = progress.failed;
             let crashes = progress.steps.iter().flat_map(|(_, step)| &step.crashes);
             let workers = crashes.map(|crash| crash.worker.clone());
             self.crashed_workers.extend(workers);
             if active.final_state().is_some() {
-                self.commit_queue.mark_changed(id);
+                self.commit_queue.mark_ended(id);
             }
         }
         self.enqueue_steps(id);
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -18,8 +18,8 @@
         let Some(key) = self.fleet.key(&listing.name) else {
             tracing::info!(worker = %listing.name, boot = listing.boot,
                 "worker added from the platform's list; polling it");
-            self.fleet.insert(Worker::new(listing, true, now));
-            self.commit_queue.workers_changed();
+            let key = self.fleet.insert(Worker::new(listing, true, now));
+            self.mark_stored_part(key);
             return;
         };
         let Some(worker) = self.fleet.get_mut(key) else {
@@ -42,9 +42,6 @@
         };
         worker.listed = true;
         worker.listing = WorkerListing { boot, ..listing };
-        if address_changed {
-            self.commit_queue.workers_changed();
-        }
         if restarted {
             // Requests sent before now may have reached the new process. Its next poll response
             // tells which runs are active.
@@ -53,13 +50,35 @@
             worker.poll_in_flight = false;
             worker.next_poll = Some(now);
         }
+        if address_changed {
+            self.mark_stored_part(key);
+        }
         self.placement_due = true;
     }
 
-    /// Restores a worker that an earlier owner used and that the platform may no longer list.
-    pub fn restore_worker(&mut self, listing: WorkerListing, now: Time) {
-        if self.fleet.key(&listing.name).is_none() {
-            self.fleet.insert(Worker::new(listing, false, now));
+    /// Restores the workers of a stored part of the list, which an earlier owner used and which the
+    /// platform may no longer list.
+    pub fn restore_workers(&mut self, part: u32, workers: Vec<WorkerListing>, now: Time) {
+        for listing in workers {
+            if self.fleet.key(&listing.name).is_some() {
+                continue;
+            }
+            let key = self.fleet.insert_in(part, Worker::new(listing, false, now));
+            let moved = self
+                .fleet
+                .get(key)
+                .is_some_and(|worker| worker.part != part);
+            if moved {
+                self.mark_stored_part(key);
+                self.commit_queue.workers_changed(part);
+            }
+        }
+    }
+
+    /// Marks the part of the stored list that holds the worker as changed.
+    fn mark_stored_part(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.fleet.get(key) {
+            self.commit_queue.workers_changed(worker.part);
         }
     }
 
@@ -142,8 +161,8 @@
             let idle = worker.runs.is_empty() && worker.unknown_runs == 0;
             let outdated = now.since(worker.last_poll) > UNLISTED_RETENTION;
             if !worker.listed && idle && expired && outdated && self.recovery.is_none() {
+                self.mark_stored_part(key);
                 self.fleet.remove(key);
-                self.commit_queue.workers_changed();
             }
         }
     }
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet.rs
@@ -9,7 +9,7 @@
 use super::policy::URGENT_PRIORITY;
 use super::spec::{TaskId, WorkflowId};
 use super::urgent_reserve::RESERVED_PERCENT;
-use crate::model::{Resources, Time, WorkerName};
+use crate::model::{Resources, ServiceName, Time, WorkerName, ZoneName};
 use crate::port::executor::WorkerListing;
 
 new_key_type! {
@@ -35,6 +35,10 @@
 /// every task that it starts.
 const MAX_FAILURES_IN_ROW: u32 = 3;
 
+/// The maximum number of workers in one part of the stored list. With names of 200 bytes, a part
+/// takes up to 33 KB.
+const WORKERS_PER_PART: usize = 128;
+
 /// The maximum deviation of the clock in a response, in milliseconds: the longest response time and
 /// the granularity of both clocks.
 const CLOCK_TOLERANCE_MS: u64 = 1_000;
@@ -82,6 +86,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
     pub(super) listing: WorkerListing,
+    /// The part of the stored list of workers that holds this one.
+    pub(super) part: u32,
     /// Whether the worker is on the platform's list.
     pub(super) listed: bool,
     /// Whether the current worker process has answered a poll, and so knows the owner's fencing
@@ -138,6 +144,7 @@
     pub(super) fn new(listing: WorkerListing, listed: bool, now: Time) -> Self {
         Self {
             listing,
+            part: 0,
             listed,
             knows_fencing_token: false,
             runs: HashMap::new(),
@@ -172,10 +179,10 @@
         let lost = self.take_lost_runs();
         let mut listing = self.listing.clone();
         listing.boot = boot;
-        let (speed, successes) = (self.speed, self.successes);
+        let (speed, successes, part) = (self.speed, self.successes, self.part);
         let poll_in_flight = self.poll_in_flight;
         *self = Self::new(listing, self.listed, now);
-        (self.speed, self.successes) = (speed, successes);
+        (self.speed, self.successes, self.part) = (speed, successes, part);
         self.poll_in_flight = poll_in_flight;
         lost
     }
@@ -439,10 +446,30 @@
 pub(super) struct Fleet {
     workers: SlotMap<WorkerKey, Worker>,
     names: HashMap<WorkerName, WorkerKey>,
+    /// The number of workers in each part of the stored list.
+    part_sizes: Vec<usize>,
 }
 
 impl Fleet {
+    /// Adds a worker, in the first part of the stored list that has room.
     pub(super) fn insert(&mut self, worker: Worker) -> WorkerKey {
+        let mut sizes = self.part_sizes.iter();
+        let part = sizes.position(|size| *size < WORKERS_PER_PART);
+        let part = part.unwrap_or(self.part_sizes.len());
+        self.insert_in(u32::try_from(part).unwrap_or(u32::MAX), worker)
+    }
+
+    /// Adds a worker in `part` of the stored list, or in another one if that part is full.
+    pub(super) fn insert_in(&mut self, part: u32, mut worker: Worker) -> WorkerKey {
+        let index = part as usize;
+        if self.part_sizes.len() <= index {
+            self.part_sizes.resize(index + 1, 0);
+        }
+        if self.part_sizes[index] >= WORKERS_PER_PART {
+            return self.insert(worker);
+        }
+        self.part_sizes[index] += 1;
+        worker.part = part;
         let name = worker.listing.name.clone();
         let key = self.workers.insert(worker);
         self.names.insert(name, key);
@@ -452,9 +479,26 @@
     pub(super) fn remove(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.names.remove(&worker.listing.name);
+            if let Some(size) = self.part_sizes.get_mut(worker.part as usize) {
+                *size -= 1;
+            }
         }
     }
 
+    /// The workers in a part of the stored list, without what is not needed for a worker that gets
+    /// no new tasks.
+    pub(super) fn stored_part(&self, part: u32) -> Vec<WorkerListing> {
+        let workers = self.workers.values().filter(|worker| worker.part == part);
+        let stored = workers.map(|worker| WorkerListing {
+            service: ServiceName::new(""),
+            zone: ZoneName::new(""),
+            labels: Vec::new(),
+            rack: None,
+            ..worker.listing.clone()
+        });
+        stored.collect()
+    }
+
     pub(super) fn key(&self, name: &WorkerName) -> Option<WorkerKey> {
         self.names.get(name).copied()
     }
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -7,6 +7,7 @@
 pub mod crash;
 mod engine;
 mod fleet;
+mod parts;
 mod policy;
 pub mod record;
 mod routes;
@@ -14,12 +15,15 @@
 mod tenure;
 pub mod urgent_reserve;
 
-pub use engine::{CancelStatus, CommitBatch, Effect, EndAck, Engine, ReplyToken, SubmitStatus};
+pub use engine::{
+    BatchLimits, CancelStatus, CommitBatch, Effect, EndAck, Engine, ReplyToken, SubmitStatus,
+};
 pub use fleet::WorkerKey;
+pub use parts::{PartMap, TASKS_PER_PART};
 pub use policy::{EngineConfig, PermitLatency, QueuePolicy};
 pub use routes::{CallerLimits, QueueConfig, QueueRoute};
 pub use spec::{
-    MAX_TASKS_PER_STEP, ParseIdError, Recurrence, SpecError, StepId, StepSpec, TaskId, WorkflowId,
+    MAX_TASKS, ParseIdError, Recurrence, SpecError, StepId, StepSpec, TaskId, WorkflowId,
     WorkflowSpec,
 };
 pub use tenure::{Tenure, predecessor_ends_at};
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -1,5 +1,7 @@
 //! The stored records of workflows.
 
+use std::ops::Range;
+
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +11,9 @@
 /// The format version of the records; records of another version are rejected.
 const FORMAT: u8 = 2;
 
+/// The maximum size of an encoded record. Its base64 text fits in a row of 64 KiB.
+pub const MAX_RECORD_BYTES: usize = 48 * 1024;
+
 /// The state of a workflow as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum WorkflowState {
@@ -95,6 +100,42 @@
         self.done[word] |= 1 << (index % 64);
     }
 
+    /// The progress of the tasks in `range` only.
+    #[must_use]
+    pub fn of_tasks(&self, range: &Range<u32>) -> Self {
+        let mut progress = Self::default();
+        let done = range.clone().filter(|index| self.is_done(*index));
+        done.for_each(|index| progress.set_done(index));
+        let failures = self.failures.iter();
+        let failures = failures.filter(|task| range.contains(&task.index));
+        progress.failures = failures.cloned().collect();
+        let in_range = |run: &&PlacedRun| range.contains(&run.index);
+        progress.placed = self.placed.iter().filter(in_range).cloned().collect();
+        progress.crashes = self.crashes.iter().filter(in_range).cloned().collect();
+        progress
+    }
+
+    /// Adds the progress of other tasks of the same step.
+    pub fn merge(&mut self, other: Self) {
+        let words = self.done.len().max(other.done.len());
+        self.done.resize(words, 0);
+        for (word, other) in self.done.iter_mut().zip(other.done) {
+            *word |= other;
+        }
+        self.failures.extend(other.failures);
+        self.placed.extend(other.placed);
+        self.crashes.extend(other.crashes);
+    }
+
+    /// The indexes of the tasks that have any progress, some of them several times.
+    pub fn indexes(&self) -> impl Iterator<Item = u32> + '_ {
+        let bits = u32::try_from(self.done.len() * 64).unwrap_or(u32::MAX);
+        let done = (0..bits).filter(|index| self.is_done(*index));
+        let runs = self.placed.iter().chain(&self.crashes);
+        let failed = self.failures.iter().map(|task| task.index);
+        done.chain(failed).chain(runs.map(|run| run.index))
+    }
+
     /// Adds the failed `run` of the task and returns how often the task has failed so far, or
     /// `None` if the run was counted before.
     pub fn add_failure(&mut self, index: u32, run: u32) -> Option<u32> {
@@ -143,18 +184,17 @@
             .filter(move |crash| crash.index == index)
     }
 
-    /// Removes the crashes of a worker process that turned out to be alive; returns whether there
-    /// were any.
-    pub fn remove_crashes(&mut self, worker: &WorkerName, boot: u64) -> bool {
-        let before = self.crashes.len();
-        self.crashes
-            .retain(|crash| crash.worker != *worker || crash.boot != boot);
-        self.crashes.len() < before
+    /// Removes the crashes of a worker process that turned out to be alive; returns the indexes of
+    /// the tasks that were blamed for them.
+    pub fn remove_crashes(&mut self, worker: &WorkerName, boot: u64) -> Vec<u32> {
+        let is_of_process = |crash: &mut PlacedRun| crash.worker == *worker && crash.boot == boot;
+        let removed = self.crashes.extract_if(.., is_of_process);
+        removed.map(|crash| crash.index).collect()
     }
 }
 
-/// The progress of a workflow. It has a record of its own, since it changes much more often than
-/// the specification.
+/// The progress of a workflow, or of the tasks in one of its parts. It has records of its own, one
+/// for each part, since it changes much more often than the specification.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkflowProgress {
     /// Whether the caller cancelled the workflow.
@@ -165,6 +205,20 @@
     pub steps: Vec<((u32, u32), StepProgress)>,
 }
 
+impl WorkflowProgress {
+    /// Adds the progress of other tasks of the workflow.
+    pub fn merge(&mut self, other: Self) {
+        self.cancelled |= other.cancelled;
+        self.failed |= other.failed;
+        for (key, step) in other.steps {
+            match self.steps.iter_mut().find(|(known, _)| *known == key) {
+                Some((_, known)) => known.merge(step),
+                None => self.steps.push((key, step)),
+            }
+        }
+    }
+}
+
 /// The error of encoding or decoding a record.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RecordCodecError {
@@ -197,6 +251,41 @@
     postcard::to_stdvec(&(FORMAT, record)).map_err(malformed)
 }
 
+/// The size of the encoded record in bytes.
+///
+/// # Errors
+///
+/// Returns an error if the value cannot be serialized.
+///
+/// # Examples
+///
+/// ```
+/// use chestnutlug::workflow::record::{WorkflowProgress, encode, encoded_len};
+///
+/// let record = WorkflowProgress::default();
+/// assert_eq!(encoded_len(&record).unwrap(), encode(&record).unwrap().len());
+/// ```
+pub fn encoded_len<T: Serialize>(record: &T) -> Result<usize, RecordCodecError> {
+    let malformed = |error: postcard::Error| RecordCodecError::Malformed(error.to_string());
+    let size = postcard::ser_flavors::Size::default();
+    postcard::serialize_with_flavor(&(FORMAT, record), size).map_err(malformed)
+}
+
+/// The size that a record of `len` bytes takes in a transaction: its base64 text and its key.
+///
+/// # Examples
+///
+/// ```
+/// use chestnutlug::workflow::record::text_len;
+///
+/// assert!(text_len(300) > 400);
+/// ```
+pub fn text_len(len: usize) -> usize {
+    /// The table, the partition and the key of a row, with their names.
+    const KEY_BYTES: usize = 200;
+    len.div_ceil(3) * 4 + KEY_BYTES
+}
+
 /// Decodes a record.
 ///
 /// # Errors
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use super::policy::QueuePolicy;
+use super::record::{self, MAX_RECORD_BYTES, RecordCodecError};
 use crate::model::Resources;
 
 /// Hexadecimal digits in the text form of a workflow id.
@@ -219,22 +220,23 @@
         /// The step that it depends on.
         depends_on: u32,
     },
-    /// A step has more than [`MAX_TASKS_PER_STEP`] tasks.
-    #[error("step {step} has {tasks} tasks; at most {MAX_TASKS_PER_STEP} are allowed")]
-    TooManyTasks {
-        /// The step.
-        step: usize,
-        /// The number of its tasks.
-        tasks: u32,
-    },
+    /// The workflow has more than [`MAX_TASKS`] tasks.
+    #[error("the workflow has {0} tasks in all occurrences; at most {MAX_TASKS} are allowed")]
+    TooManyTasks(u64),
+    /// The record of the workflow would exceed [`MAX_RECORD_BYTES`].
+    #[error("the record of the workflow takes {0} bytes; at most {MAX_RECORD_BYTES} are allowed")]
+    TooLarge(usize),
+    /// The workflow cannot be encoded.
+    #[error(transparent)]
+    Codec(#[from] RecordCodecError),
 }
 
-/// The maximum number of tasks in a step. It keeps the record of a workflow within the size limit
-/// of one row in the store.
-pub const MAX_TASKS_PER_STEP: u32 = 100_000;
+/// The maximum number of tasks in all steps and occurrences of a workflow, all of which are kept in
+/// memory.
+pub const MAX_TASKS: u64 = 100_000;
 
 impl WorkflowSpec {
-    /// Validates the steps: their number of tasks and their dependencies.
+    /// Validates the steps: their number of tasks, their dependencies and the size of the record.
     ///
     /// # Errors
     ///
@@ -247,10 +249,6 @@
             if spec.tasks == 0 {
                 return Err(SpecError::NoTasks(step));
             }
-            if spec.tasks > MAX_TASKS_PER_STEP {
-                let tasks = spec.tasks;
-                return Err(SpecError::TooManyTasks { step, tasks });
-            }
             if let Some(&depends_on) = spec
                 .depends_on
                 .iter()
@@ -259,6 +257,15 @@
                 return Err(SpecError::InvalidDependency { step, depends_on });
             }
         }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let tasks = tasks.saturating_mul(u64::from(self.occurrences()));
+        if tasks > MAX_TASKS {
+            return Err(SpecError::TooManyTasks(tasks));
+        }
+        let bytes = record::encoded_len(self)?;
+        if bytes > MAX_RECORD_BYTES {
+            return Err(SpecError::TooLarge(bytes));
+        }
         Ok(())
     }
 
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -7,6 +7,7 @@
 mod lifecycle;
 mod load;
 mod odd_worker;
+mod records;
 mod takeover;
 mod waiting;
 mod world;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -8,10 +8,12 @@
     ActiveRun, EndedRun, ExecutorError, Permit, Permits, PollRequest, PollResponse, Rejection,
     RunEnd, StartRequest, WorkerListing, WorkerTarget,
 };
-use chestnutlug::workflow::record::{WorkflowProgress, WorkflowRecord, WorkflowState};
+use chestnutlug::workflow::record::{
+    MAX_RECORD_BYTES, WorkflowProgress, WorkflowRecord, WorkflowState, encoded_len,
+};
 use chestnutlug::workflow::{
-    CommitBatch, Effect, Engine, EngineConfig, PermitLatency, QueuePolicy, ReplyToken, StepSpec,
-    TaskId, Tenure, WorkerKey, WorkflowId, WorkflowSpec, predecessor_ends_at,
+    BatchLimits, CommitBatch, Effect, Engine, EngineConfig, PermitLatency, QueuePolicy, ReplyToken,
+    StepSpec, TaskId, Tenure, WorkerKey, WorkflowId, WorkflowSpec, predecessor_ends_at,
 };
 
 use crate::crash_world::Crashes;
@@ -27,6 +29,9 @@
 
 pub const LEASE_MS: u64 = 5_000;
 
+/// The maximum size of the records in a transaction.
+const MAX_BATCH_BYTES: usize = 800_000;
+
 /// The interval between two writes of an owner without changes.
 const HEARTBEAT_MS: u64 = 500;
 
@@ -74,6 +79,8 @@
     Permits(chestnutlug::workflow::StepId, Vec<WorkerName>),
     /// A batch that was sent at this time, in milliseconds.
     Committed(Box<CommitBatch>, u64),
+    /// A batch that the store will never take, with the time of the heartbeat after it.
+    Rejected(Box<CommitBatch>, u64),
     NotCommitted(Box<CommitBatch>),
 }
 
@@ -91,8 +98,18 @@
     pub now_ms: u64,
     pub workers: Vec<FakeWorker>,
     pub records: BTreeMap<WorkflowId, WorkflowRecord>,
-    pub progress: HashMap<WorkflowId, WorkflowProgress>,
-    pub stored_workers: Vec<WorkerListing>,
+    /// The parts of the progress of workflows.
+    pub progress: BTreeMap<(WorkflowId, u64), WorkflowProgress>,
+    /// The parts of the list of workers.
+    pub stored_workers: BTreeMap<u32, Vec<WorkerListing>>,
+    /// Workflows whose records the store rejects.
+    pub rejected: HashSet<u64>,
+    /// Workflows whose progress the store rejects.
+    pub rejected_progress: HashSet<u64>,
+    /// The number of rejected transactions.
+    pub rejections: u64,
+    /// The maximum number of entries in a transaction.
+    pub max_entries: usize,
     pub store_fails: bool,
     /// The duration of a transaction, in milliseconds.
     pub commit_ms: u64,
@@ -159,8 +176,12 @@
             now_ms: 1_000,
             workers: (0..workers).map(fake_worker).collect(),
             records: BTreeMap::new(),
-            progress: HashMap::new(),
-            stored_workers: Vec::new(),
+            progress: BTreeMap::new(),
+            stored_workers: BTreeMap::new(),
+            rejected: HashSet::new(),
+            rejected_progress: HashSet::new(),
+            rejections: 0,
+            max_entries: 89,
             store_fails: false,
             commit_ms: COMMIT_MS,
             accepted: HashSet::new(),
@@ -201,6 +222,10 @@
 
     pub fn submit(&mut self, id: u64, steps: Vec<StepSpec>) {
         let spec = self.spec(steps);
+        self.submit_spec(id, spec);
+    }
+
+    pub fn submit_spec(&mut self, id: u64, spec: WorkflowSpec) {
         let now = self.now();
         self.engine
             .submit(WorkflowId(id), spec, ReplyToken(id), now);
@@ -237,15 +262,16 @@
         if queues_known {
             self.engine.set_queues(vec![self.queue.clone()]);
         }
-        self.list_workers();
-        for listing in self.stored_workers.clone() {
-            self.engine.restore_worker(listing, now);
+        for (part, workers) in self.stored_workers.clone() {
+            self.engine.restore_workers(part, workers, now);
         }
+        self.list_workers();
         self.engine.begin_recovery(predecessor_ends_at.max(now));
         for (id, record) in &self.records {
-            let progress = self.progress.get(id).cloned().unwrap_or_default();
+            let parts = self.progress.range((*id, 0)..=(*id, u64::MAX));
+            let parts = parts.map(|((_, part), progress)| (*part, progress.clone()));
             self.engine
-                .load_workflow(*id, record.clone(), &progress, now);
+                .load_workflow(*id, record.clone(), parts.collect(), now);
         }
     }
 
@@ -308,11 +334,16 @@
             self.renew_tenure(now_ms);
         }
         if !self.committing
-            && let Some(batch) = self.engine.take_batch(89)
+            && let Some(batch) = self.engine.take_batch(BatchLimits {
+                entries: self.max_entries,
+                bytes: MAX_BATCH_BYTES,
+            })
         {
             self.committing = true;
             let event = if self.store_fails {
                 ScheduledEvent::NotCommitted(Box::new(batch))
+            } else if !self.takes(&batch) {
+                ScheduledEvent::Rejected(Box::new(batch), now_ms)
             } else {
                 ScheduledEvent::Committed(Box::new(batch), now_ms)
             };
@@ -387,7 +418,16 @@
                 self.engine
                     .handle_permit_response(step, &requested, Ok(permits), now);
             }
-            ScheduledEvent::Committed(..) | ScheduledEvent::NotCommitted(_) if self.stale_acts => {}
+            ScheduledEvent::Committed(..)
+            | ScheduledEvent::Rejected(..)
+            | ScheduledEvent::NotCommitted(_)
+                if self.stale_acts => {}
+            ScheduledEvent::Rejected(batch, sent_ms) => {
+                self.committing = false;
+                self.rejections += 1;
+                self.renew_tenure(sent_ms);
+                self.engine.handle_commit_rejection(&batch, now);
+            }
             ScheduledEvent::Committed(batch, sent_ms) => {
                 self.renew_tenure(sent_ms);
                 self.commit(&batch);
@@ -399,6 +439,19 @@
         }
     }
 
+    /// Whether the records of a batch are within the limits of the store.
+    fn takes(&self, batch: &CommitBatch) -> bool {
+        let fits = |len: usize| len <= MAX_RECORD_BYTES;
+        let mut added = batch.added.iter();
+        let mut progress = batch.progress.iter();
+        let mut workers = batch.workers.iter();
+        added.all(|(id, record)| {
+            fits(encoded_len(record).unwrap()) && !self.rejected.contains(&id.0)
+        }) && progress.all(|(id, _, record)| {
+            fits(encoded_len(record).unwrap()) && !self.rejected_progress.contains(&id.0)
+        }) && workers.all(|(_, workers)| fits(encoded_len(workers).unwrap()))
+    }
+
     fn commit(&mut self, batch: &CommitBatch) {
         self.committing = false;
         let mut existing = Vec::new();
@@ -410,18 +463,21 @@
                 }
             }
         }
-        for (id, progress) in &batch.progress {
-            self.progress.insert(*id, progress.clone());
+        for (id, part, progress) in &batch.progress {
+            self.progress.insert((*id, *part), progress.clone());
         }
         for (id, state) in &batch.ended {
             if *state == WorkflowState::Complete {
                 self.completed.insert(id.0, self.now_ms);
             }
             self.records.insert(*id, WorkflowRecord::Ended(*state));
-            self.progress.remove(id);
+            self.progress.remove(&(*id, 0));
         }
-        if let Some(workers) = &batch.workers {
-            self.stored_workers.clone_from(workers);
+        for key in &batch.obsolete {
+            self.progress.remove(key);
+        }
+        for (part, workers) in &batch.workers {
+            self.stored_workers.insert(*part, workers.clone());
         }
         let now = self.now();
         self.engine.handle_commit(batch, &existing, now);
@@ -571,10 +627,9 @@
             let WorkflowRecord::Active(spec) = record else {
                 continue;
             };
-            let Some(progress) = self.progress.get(id) else {
-                continue;
-            };
-            for ((occurrence, step), step_progress) in &progress.steps {
+            let parts = self.progress.range((*id, 0)..=(*id, u64::MAX));
+            let steps = parts.flat_map(|(_, progress)| &progress.steps);
+            for ((occurrence, step), step_progress) in steps {
                 for index in 0..spec.steps[*step as usize].tasks {
                     if step_progress.is_done(index) {
                         let step = chestnutlug::workflow::StepId {
