Decide what the end of a run means from its standing

Cause: complete_task looked at the step, not at the run. A late end 'done' of an earlier run queued a long-running task again beside its current run, and completed a gang without stopping its current run. Ruled out: a renewed lease (the first run had ended) and a repeated start request (the third run has its own number).

Change: workflow/run_end.rs decides from the kind of the step, the kind of the end and the standing of the run; completion.rs applies it.

Tests: with the old behaviour of long-running steps both tests of run_ends.rs fail (Lasting Done Superseded: Requeue instead of Ignore), with that of gangs the second fails (2 active runs instead of 0).

--- a/src/workflow/engine/completion.rs
+++ b/src/workflow/engine/completion.rs
@@ -7,6 +7,7 @@
 use crate::port::executor::{EndedRun, RunEnd};
 use crate::workflow::active::TaskStatus;
 use crate::workflow::fleet::{ReservedRun, WorkerKey};
+use crate::workflow::run_end::{EndAction, Standing, StepKind, action, counts_as_failure};
 use crate::workflow::spec::{StepId, TaskId, WorkflowId};
 
 /// The delay before a task starts again after a run ended without success, so that a task that
@@ -34,16 +35,55 @@
             held = reserved.is_some(),
             "run ended"
         );
-        match ended.end {
-            RunEnd::Done => self.complete_task(task, now),
-            RunEnd::Failed => self.handle_failed_run(task, worker, ended, now),
-            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
-                self.handle_interrupted_run(task, worker, ended, now);
-            }
-        }
+        self.apply_end(worker, task, ended, now);
         self.placement_due = true;
     }
 
+    /// Changes the state of the task as the end of its run requires.
+    fn apply_end(&mut self, worker: WorkerKey, task: TaskId, ended: &EndedRun, now: Time) {
+        let Some((kind, standing)) = self.standing(worker, task, ended.run) else {
+            return;
+        };
+        if counts_as_failure(kind, ended.end, standing) && self.add_failure(task, ended.run, now) {
+            return;
+        }
+        // A long-running task that is done starts from the beginning.
+        let checkpoint = ended.checkpoint.clone();
+        let checkpoint = checkpoint.filter(|_| ended.end != RunEnd::Done);
+        match action(kind, ended.end, standing) {
+            EndAction::Complete => self.complete_task(task, ended.run, now),
+            EndAction::Requeue => self.requeue_task(task, checkpoint, now + RETRY_DELAY),
+            EndAction::KeepCheckpoint => self.store_checkpoint(task, checkpoint),
+            EndAction::Ignore => {}
+        }
+    }
+
+    /// How the run on `worker` relates to its task, with the kind of its step. The members of a gang
+    /// are stopped and requeued one by one, so that an end without success concerns the member alone.
+    fn standing(&self, worker: WorkerKey, task: TaskId, run: u32) -> Option<(StepKind, Standing)> {
+        let active = self.active.get(&task.step.workflow)?;
+        let spec = active.spec.steps.get(task.step.step as usize)?;
+        let key = (task.step.occurrence, task.step.step);
+        let status = active
+            .steps
+            .get(&key)?
+            .tasks
+            .get(task.index as usize)?
+            .status;
+        let standing = match status {
+            TaskStatus::Done => Standing::Done,
+            TaskStatus::Waiting => Standing::Waiting,
+            TaskStatus::Placed(at, current) if (at, current) == (worker, run) => Standing::Current,
+            TaskStatus::Placed(..) => Standing::Superseded,
+        };
+        let kind = match (spec.long_running, spec.gang) {
+            (true, _) => StepKind::Lasting,
+            (false, true) => StepKind::Gang,
+            (false, false) => StepKind::Ordinary,
+        };
+        Some((kind, standing))
+    }
+
     fn release_run(&mut self, worker: WorkerKey, task: TaskId, run: u32) -> Option<ReservedRun> {
         let worker = self.fleet.get_mut(worker)?;
         let reserved = worker
@@ -74,42 +114,32 @@
         }
     }
 
-    fn complete_task(&mut self, task: TaskId, now: Time) {
+    /// Marks the task, or all tasks of its gang, as done after `run` is, and stops their other runs.
+    fn complete_task(&mut self, task: TaskId, run: u32, now: Time) {
         let id = task.step.workflow;
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
-        let (occurrence, step) = (task.step.occurrence, task.step.step);
-        let Some(spec) = active.spec.steps.get(step as usize).cloned() else {
+        let Some(spec) = active.spec.steps.get(task.step.step as usize).cloned() else {
             return;
         };
         active.started = true;
-        let Some(state) = active.steps.get_mut(&(occurrence, step)) else {
+        let key = (task.step.occurrence, task.step.step);
+        let Some(state) = active.steps.get_mut(&key) else {
             return;
         };
-        if spec.long_running {
-            self.requeue_task(task, None, now + RETRY_DELAY);
-            return;
-        }
         let placed = state.placed();
-        // A gang is done as soon as one member is done.
         let done = if spec.gang {
             0..spec.tasks
         } else {
             task.index..task.index + 1
         };
         let changed: Vec<u32> = done.filter(|index| state.set_done(*index)).collect();
-        if changed.is_empty() {
-            return;
-        }
         let is_step_done = state.remaining == 0;
-        if !spec.gang {
-            // Another run of the task may have started since the worker last responded; it is not
-            // needed.
-            for (index, worker, run) in placed {
-                if index == task.index {
-                    self.stop_run(worker, task, run, now);
-                }
+        for (index, worker, other) in placed {
+            // The members of one run of a gang end together.
+            if changed.contains(&index) && !(spec.gang && other == run) {
+                self.stop_run(worker, task.step.task(index), other, now);
             }
         }
         for index in changed {
@@ -127,52 +157,34 @@
         self.enqueue_steps(step.workflow);
     }
 
-    fn handle_failed_run(&mut self, task: TaskId, worker: WorkerKey, ended: &EndedRun, now: Time) {
+    /// Counts a failure of the task; true if the workflow has failed with it.
+    fn add_failure(&mut self, task: TaskId, run: u32, now: Time) -> bool {
         let id = task.step.workflow;
         let Some(active) = self.active.get_mut(&id) else {
-            return;
-        };
-        let Some(spec) = active.spec.steps.get(task.step.step as usize).cloned() else {
-            return;
+            return false;
         };
+        let spec = active.spec.steps.get(task.step.step as usize);
+        let is_gang = spec.is_some_and(|spec| spec.gang);
         let max_failures = active.max_failures();
         let key = (task.step.occurrence, task.step.step);
-        if let Some(state) = active.steps.get_mut(&key)
-            && !state.progress.is_done(task.index)
-            && !spec.long_running
-        {
-            // A gang fails as a whole, so that its failures are counted for its first member.
-            let counted = if spec.gang { 0 } else { task.index };
-            let failures = state.progress.add_failure(counted, ended.run);
-            if failures.is_some() {
-                let part = active.parts.part_of(key, counted);
-                self.commit_queue.mark_changed(id, part);
-            }
-            if failures.is_some_and(|failures| failures >= max_failures) {
-                tracing::info!(request = %id, task = %task, failures,
-                    "workflow failed, a task reached its failure limit; stopping all runs");
-                active.failed = true;
-                self.stop_all_runs(id, now);
-                return;
-            }
-        }
-        self.handle_interrupted_run(task, worker, ended, now);
-    }
-
-    /// Handles a run that ended without a result: its task waits again.
-    fn handle_interrupted_run(
-        &mut self,
-        task: TaskId,
-        worker: WorkerKey,
-        ended: &EndedRun,
-        now: Time,
-    ) {
-        let current = self.task_status(task);
-        if current == Some(TaskStatus::Placed(worker, ended.run)) {
-            self.requeue_task(task, ended.checkpoint.clone(), now + RETRY_DELAY);
-        } else if current == Some(TaskStatus::Waiting) {
-            self.store_checkpoint(task, ended.checkpoint.clone());
+        let Some(state) = active.steps.get_mut(&key) else {
+            return false;
+        };
+        // A gang fails as a whole, so that its failures are counted for its first member.
+        let counted = if is_gang { 0 } else { task.index };
+        let Some(failures) = state.progress.add_failure(counted, run) else {
+            return false;
+        };
+        let part = active.parts.part_of(key, counted);
+        self.commit_queue.mark_changed(id, part);
+        if failures < max_failures {
+            return false;
         }
+        tracing::info!(request = %id, task = %task, failures,
+            "workflow failed, a task reached its failure limit; stopping all runs");
+        active.failed = true;
+        self.stop_all_runs(id, now);
+        true
     }
 
     pub(super) fn task_status(&self, task: TaskId) -> Option<TaskStatus> {
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 mod policy;
 pub mod record;
 mod routes;
+pub mod run_end;
 mod spec;
 mod tenure;
 pub mod urgent_reserve;
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod odd_worker;
 mod records;
+mod run_ends;
 mod takeover;
 mod waiting;
 mod world;
