Merge parts of progress in order, and split the fleet's index and the owner's inbox off

A takeover searched the progress of each step in all others: a recurring workflow with 100,000 times would have taken minutes.

--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -23,6 +23,7 @@
 mod outbox;
 mod owner;
 mod owner_calls;
+mod owner_inbox;
 pub mod permit_queue;
 mod reader;
 mod relay;
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -13,10 +13,8 @@
 use super::cluster_view::ClusterView;
 use super::event::{Event, FinishedWrite, OwnerRequest, OwnershipEnd};
 use super::fenced_writer::{BATCH_LIMITS, FencedWriter, WriteError};
-use super::layout::InboxEntry;
 use super::message::{Member, WorkflowReply};
 use super::permit_queue::{PermitQueue, PermitRequest};
-use super::reader::InboxRecord;
 use super::shards::{ShardId, ShardMap};
 use super::store_health::StoreHealth;
 use crate::metrics::{Counter, Gauge, Metrics, Timer};
@@ -26,8 +24,8 @@
 use crate::port::feeds::{FeedUpdate, SharedFeeds, WorkerChange};
 use crate::port::peer::SharedPeerClient;
 use crate::port::permits::SharedPermitService;
-use crate::port::record_store::{RecordKey, SharedRecordStore};
-use crate::workflow::{CancelStatus, Effect, Engine, ReplyToken, SubmitStatus, WorkflowId};
+use crate::port::record_store::SharedRecordStore;
+use crate::workflow::{CancelStatus, Effect, Engine, ReplyToken, SubmitStatus};
 
 /// The interval between two ticks of the engine when no other event arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -315,40 +313,6 @@
         }
     }
 
-    /// Applies inbox entries and returns the keys of those whose effect is recorded.
-    fn apply_inbox_entries(&mut self, inbox: Vec<InboxRecord>, now: Time) -> Vec<RecordKey> {
-        let mut recorded = Vec::new();
-        for record in inbox {
-            let is_recorded = match record.entry {
-                InboxEntry::Submitted(spec) => {
-                    self.engine.submit_from_inbox(record.id, spec, now) == SubmitStatus::Recorded
-                }
-                InboxEntry::Cancelled => self.cancel_from_inbox(record.id, now),
-            };
-            if is_recorded {
-                recorded.push(record.key);
-            }
-        }
-        recorded
-    }
-
-    /// Applies a cancellation; true if it is recorded. No reply is needed, because the caller got its
-    /// response when the entry was written.
-    fn cancel_from_inbox(&mut self, id: WorkflowId, now: Time) -> bool {
-        match self.engine.cancel(id, None, now) {
-            CancelStatus::Ended => true,
-            CancelStatus::AwaitingCommit => {
-                tracing::info!(request = %id, "applying a cancellation from an inbox of the shard");
-                false
-            }
-            CancelStatus::Unknown => {
-                tracing::warn!(request = %id,
-                    "inbox entry cancels an unknown workflow; it stays in the inbox until the workflow is known");
-                false
-            }
-        }
-    }
-
     fn handle_finished_write(&mut self, write: FinishedWrite, now: Time) {
         let batch = &write.batch;
         let metrics = &self.ports.metrics;
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -241,9 +241,8 @@
         self.occurrences += 1;
         for (spec, step) in self.spec.clone().steps.iter().zip(0u32..) {
             let key = (occurrence, step);
-            let stored = progress.steps.iter().find(|(at, _)| *at == key);
-            let stored = stored.map(|(_, progress)| progress.clone());
-            let state = StepState::new(spec, stored.unwrap_or_default(), now);
+            let stored = progress.step(key).cloned().unwrap_or_default();
+            let state = StepState::new(spec, stored, now);
             self.steps.insert(key, state);
         }
     }
--- a/src/workflow/engine/submission.rs
+++ b/src/workflow/engine/submission.rs
@@ -168,11 +168,7 @@
             return;
         }
         let stored_parts: BTreeSet<u64> = parts.iter().map(|(part, _)| *part).collect();
-        let mut progress = WorkflowProgress::default();
-        for (_, part) in parts {
-            progress.merge(part);
-        }
-        let progress = &progress;
+        let progress = &WorkflowProgress::merge(parts.into_iter().map(|(_, part)| part));
         self.add_active(id, spec, progress, now);
         if let Some(active) = self.active.get_mut(&id) {
             active.recorded = true;
--- a/src/workflow/fleet.rs
+++ b/src/workflow/fleet/mod.rs
@@ -1,17 +1,21 @@
 //! The workers of a shard, as tracked by the shard's owner.
 
+mod index;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::new_key_type;
 
 use super::crash::{LostRun, PROBATION};
 use super::policy::URGENT_PRIORITY;
 use super::spec::{TaskId, WorkflowId};
 use super::urgent_reserve::RESERVED_PERCENT;
-use crate::model::{Resources, ServiceName, Time, WorkerName, ZoneName};
+use crate::model::{Resources, Time, WorkerName};
 use crate::port::executor::WorkerListing;
 
+pub(super) use self::index::Fleet;
+
 new_key_type! {
     /// The key of a worker in the fleet.
     pub struct WorkerKey;
@@ -35,10 +39,6 @@
 /// every task that it starts.
 const MAX_FAILURES_IN_ROW: u32 = 3;
 
-/// The maximum number of workers in one part of the stored list. With names of 200 bytes, a part
-/// takes up to 33 KB.
-const WORKERS_PER_PART: usize = 128;
-
 /// The maximum deviation of the clock in a response, in milliseconds: the longest response time and
 /// the granularity of both clocks.
 const CLOCK_TOLERANCE_MS: u64 = 1_000;
@@ -441,89 +441,6 @@
     }
 }
 
-/// The workers, by key and by name.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Fleet {
-    workers: SlotMap<WorkerKey, Worker>,
-    names: HashMap<WorkerName, WorkerKey>,
-    /// The number of workers in each part of the stored list.
-    part_sizes: Vec<usize>,
-}
-
-impl Fleet {
-    /// Adds a worker, in the first part of the stored list that has room.
-    pub(super) fn insert(&mut self, worker: Worker) -> WorkerKey {
-        let mut sizes = self.part_sizes.iter();
-        let part = sizes.position(|size| *size < WORKERS_PER_PART);
-        let part = part.unwrap_or(self.part_sizes.len());
-        self.insert_in(u32::try_from(part).unwrap_or(u32::MAX), worker)
-    }
-
-    /// Adds a worker in `part` of the stored list, or in another one if that part is full.
-    pub(super) fn insert_in(&mut self, part: u32, mut worker: Worker) -> WorkerKey {
-        let index = part as usize;
-        if self.part_sizes.len() <= index {
-            self.part_sizes.resize(index + 1, 0);
-        }
-        if self.part_sizes[index] >= WORKERS_PER_PART {
-            return self.insert(worker);
-        }
-        self.part_sizes[index] += 1;
-        worker.part = part;
-        let name = worker.listing.name.clone();
-        let key = self.workers.insert(worker);
-        self.names.insert(name, key);
-        key
-    }
-
-    pub(super) fn remove(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.remove(key) {
-            self.names.remove(&worker.listing.name);
-            if let Some(size) = self.part_sizes.get_mut(worker.part as usize) {
-                *size -= 1;
-            }
-        }
-    }
-
-    /// The workers in a part of the stored list, without what is not needed for a worker that gets
-    /// no new tasks.
-    pub(super) fn stored_part(&self, part: u32) -> Vec<WorkerListing> {
-        let workers = self.workers.values().filter(|worker| worker.part == part);
-        let stored = workers.map(|worker| WorkerListing {
-            service: ServiceName::new(""),
-            zone: ZoneName::new(""),
-            labels: Vec::new(),
-            rack: None,
-            ..worker.listing.clone()
-        });
-        stored.collect()
-    }
-
-    pub(super) fn key(&self, name: &WorkerName) -> Option<WorkerKey> {
-        self.names.get(name).copied()
-    }
-
-    pub(super) fn get(&self, key: WorkerKey) -> Option<&Worker> {
-        self.workers.get(key)
-    }
-
-    pub(super) fn get_mut(&mut self, key: WorkerKey) -> Option<&mut Worker> {
-        self.workers.get_mut(key)
-    }
-
-    pub(super) fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
-        self.workers.iter()
-    }
-
-    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (WorkerKey, &mut Worker)> {
-        self.workers.iter_mut()
-    }
-
-    pub(super) fn keys(&self) -> Vec<WorkerKey> {
-        self.workers.keys().collect()
-    }
-}
-
 /// A duration in whole milliseconds.
 pub(super) fn as_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/src/workflow/record.rs
+++ b/src/workflow/record.rs
@@ -1,5 +1,6 @@
 //! The stored records of workflows.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 
 use serde::de::DeserializeOwned;
@@ -206,16 +207,25 @@
 }
 
 impl WorkflowProgress {
-    /// Adds the progress of other tasks of the workflow.
-    pub fn merge(&mut self, other: Self) {
-        self.cancelled |= other.cancelled;
-        self.failed |= other.failed;
-        for (key, step) in other.steps {
-            match self.steps.iter_mut().find(|(known, _)| *known == key) {
-                Some((_, known)) => known.merge(step),
-                None => self.steps.push((key, step)),
+    /// The progress of all tasks, from that of the tasks in each part.
+    pub fn merge(parts: impl IntoIterator<Item = Self>) -> Self {
+        let mut merged = Self::default();
+        let mut steps: BTreeMap<(u32, u32), StepProgress> = BTreeMap::new();
+        for part in parts {
+            merged.cancelled |= part.cancelled;
+            merged.failed |= part.failed;
+            for (key, step) in part.steps {
+                steps.entry(key).or_default().merge(step);
             }
         }
+        merged.steps = steps.into_iter().collect();
+        merged
+    }
+
+    /// The progress of a step, if it has any. The steps must be in order, see [`Self::merge`].
+    pub fn step(&self, key: (u32, u32)) -> Option<&StepProgress> {
+        let position = self.steps.binary_search_by_key(&key, |(known, _)| *known);
+        Some(&self.steps[position.ok()?].1)
     }
 }
 
