Log why a run counts as ended

A requeued task now names its run, the fencing token of the owner and what the owner relied on: the process that answered, the age of the poll, an expired lease, or a run that an earlier owner placed and that the responding process does not list. No logic changes.

--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -7,7 +7,7 @@
 use crate::model::Time;
 use crate::port::executor::{ActiveRun, ExecutorError, PollRequest, PollResponse, Rejection};
 use crate::workflow::active::TaskStatus;
-use crate::workflow::fleet::{ReservedRun, RunState, Worker, WorkerKey};
+use crate::workflow::fleet::{ReservedRun, RunState, Worker, WorkerKey, as_millis};
 use crate::workflow::policy::URGENT_PRIORITY;
 use crate::workflow::spec::TaskId;
 
@@ -349,6 +349,7 @@
         let Some(worker) = self.fleet.get(key) else {
             return;
         };
+        let response_boot = worker.listing.boot;
         let missing = worker.runs.iter();
         let missing = missing.filter(|(task, reserved)| !listed.contains(&(**task, reserved.run)));
         let missing: Vec<(TaskId, ReservedRun)> =
@@ -378,6 +379,9 @@
                         task = %task,
                         run = reserved.run,
                         worker = self.worker_name(key),
+                        boot = response_boot,
+                        poll_age_ms = as_millis(now.since(sent_at)),
+                        token = self.fencing_token,
                         "run is missing on its worker without a reported end; requeuing its task"
                     );
                     self.release_and_requeue(key, task, now);
--- a/src/workflow/engine/submission.rs
+++ b/src/workflow/engine/submission.rs
@@ -237,6 +237,12 @@
                     |run: &mut PlacedRun| worker.is_none_or(|(name, _)| run.worker == *name);
                 let tasks = state.tasks.iter_mut();
                 let cleared = tasks.filter_map(|task| task.unverified.take_if(is_cleared));
+                let cleared = cleared.inspect(|run| {
+                    tracing::info!(request = %step.workflow, task = %step.task(run.index), run = run.run,
+                        worker = %run.worker, boot = run.boot, responding_boot = ?worker.map(|(_, boot)| boot),
+                        token = self.fencing_token,
+                        "a run that an earlier owner placed is not on its worker; its task may start again");
+                });
                 let gone = |run: &PlacedRun| worker.is_none_or(|(_, boot)| run.boot < boot);
                 crashed.extend(cleared.filter(gone).map(|run| (step, run)));
             }
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -112,7 +112,9 @@
         tracing::info!(
             worker = %worker.listing.name,
             boot = response.boot,
+            earlier_boot = process.1,
             lost = lost.len(),
+            token = self.fencing_token,
             "worker process restarted; requeuing the tasks of its lost runs"
         );
         // A start request may have reached the new process.
@@ -120,18 +122,18 @@
         let mut crashed = lost.clone();
         crashed.retain(|lost| !is_on_new_process(lost));
         self.blame_crash(&process, &crashed, now);
-        self.requeue_lost_runs(key, &lost, now);
+        self.requeue_lost_runs(key, &lost, "its process was replaced", now);
     }
 
-    fn requeue_lost_runs(&mut self, key: WorkerKey, lost: &[LostRun], now: Time) {
-        for LostRun { task, .. } in lost {
+    fn requeue_lost_runs(&mut self, key: WorkerKey, lost: &[LostRun], evidence: &str, now: Time) {
+        for LostRun { task, run, .. } in lost {
             let on_worker = matches!(
                 self.task_status(*task),
                 Some(crate::workflow::active::TaskStatus::Placed(at, _)) if at == key
             );
             if on_worker {
-                tracing::warn!(request = %task.step.workflow, task = %task,
-                    worker = self.worker_name(key),
+                tracing::warn!(request = %task.step.workflow, task = %task, run,
+                    worker = self.worker_name(key), evidence, token = self.fencing_token,
                     "run lost by a restart or an expired lease of its worker; requeuing task");
                 self.requeue_task(*task, None, now);
             }
@@ -155,7 +157,7 @@
                 if !worker.listing.draining {
                     self.blame_crash(&process, &lost, now);
                 }
-                self.requeue_lost_runs(key, &lost, now);
+                self.requeue_lost_runs(key, &lost, "its lease has expired", now);
                 continue;
             }
             let idle = worker.runs.is_empty() && worker.unknown_runs == 0;
