--- a/src/coordinator/elector.rs
+++ b/src/coordinator/elector.rs
@@ -23,7 +23,8 @@
 use crate::port::feeds::{FeedUpdate, WorkerChange};
 use crate::port::record_store::StoreError;
 use crate::workflow::{
-    CommitBatch, Engine, EngineConfig, QueueConfig, QueuePolicy, Tenure, predecessor_ends_at,
+    CommitBatch, Engine, EngineConfig, LongLeases, Predecessor, QueueConfig, QueuePolicy, Tenure,
+    predecessor_ends_at,
 };
 
 /// The interval between two pings of the owner.
@@ -235,7 +236,11 @@
             let delay_left = delay.saturating_sub(now.since(since));
             if delay_left <= RECORD_CHECK_INTERVAL {
                 tokio::time::sleep(delay_left).await;
-                self.claim(0, 0, now).await;
+                let nobody = Predecessor {
+                    ends_at: now,
+                    long_leases: LongLeases::Workers(Vec::new()),
+                };
+                self.claim(0, 0, nobody).await;
             }
             return;
         };
@@ -265,7 +270,11 @@
                 (false, true) => predecessor_ends_at(now),
                 (false, false) => predecessor_ends_at(since),
             };
-            self.claim(record.epoch, version, ends_at).await;
+            let predecessor = Predecessor {
+                ends_at,
+                long_leases: record.long_leases,
+            };
+            self.claim(record.epoch, version, predecessor).await;
         }
     }
 
@@ -280,9 +289,9 @@
         others.any(|member| member.is_preferred_owner(cpu_milli))
     }
 
-    /// Claims the shard after the owner of `epoch`, whose record has `version` and whose tenure ends at
-    /// `ends_at` at the latest, and runs the owner until its ownership ends.
-    async fn claim(&self, epoch: u64, version: u64, ends_at: Time) {
+    /// Claims the shard after the owner of `epoch`, whose record has `version`, and runs the owner until
+    /// its ownership ends.
+    async fn claim(&self, epoch: u64, version: u64, predecessor: Predecessor) {
         // An owner without a configuration cannot run workflows.
         if *self.stopping.borrow() || self.queues.borrow().is_empty() {
             return;
@@ -295,6 +304,8 @@
             epoch: epoch + 1,
             transaction: 0,
             released: false,
+            // Kept for a successor that finds no later record of this owner.
+            long_leases: predecessor.long_leases.clone(),
         };
         let clock = self.ports.clock;
         let tenure = Tenure::begin(clock.now());
@@ -305,7 +316,7 @@
                     epoch = writer.owner.epoch,
                     "this VM has claimed a shard; loading its records"
                 );
-                self.run_owner(writer, tenure, ends_at).await;
+                self.run_owner(writer, tenure, predecessor).await;
             }
             Ok(None) => tracing::info!(
                 shard = self.shard.0,
@@ -320,7 +331,12 @@
     }
 
     /// Loads the shard's records and runs the owner until its ownership ends.
-    async fn run_owner(&self, mut writer: FencedWriter, mut tenure: Tenure, ends_at: Time) {
+    async fn run_owner(
+        &self,
+        mut writer: FencedWriter,
+        mut tenure: Tenure,
+        mut predecessor: Predecessor,
+    ) {
         // Counted while the records are still being loaded, so that this VM claims no further shard
         // that another one has more CPU for.
         self.ports.cluster.shard_acquired();
@@ -344,7 +360,8 @@
             }
         }
         if epoch > 1 {
-            engine.begin_recovery(ends_at.max(now));
+            predecessor.ends_at = predecessor.ends_at.max(now);
+            engine.begin_recovery(&predecessor);
         }
         let workflows = snapshot.workflows.len();
         for (id, record, parts) in snapshot.workflows {
@@ -363,7 +380,7 @@
             writer,
             self.ports.clone(),
             (self.shard, self.map),
-            ends_at,
+            predecessor.ends_at,
             end_tx,
         );
         let owner = WorkflowOwner::spawn(owner);
--- a/src/coordinator/fenced_writer.rs
+++ b/src/coordinator/fenced_writer.rs
@@ -90,7 +90,7 @@
     ) -> Result<Option<Self>, StoreError> {
         let transaction = Transaction {
             expected: vec![(layout::owner_key(shard), version)],
-            puts: vec![(layout::owner_key(shard), encode(&owner)?)],
+            puts: vec![(layout::owner_key(shard), encode_owner(&owner)?)],
             removals: Vec::new(),
         };
         let call = StoreCall::Commit(transaction);
@@ -235,8 +235,7 @@
     ) -> Result<Option<u64>, WriteError> {
         let key = layout::owner_key(self.shard);
         let record = records.iter().find(|record| record.key == key);
-        let found = record
-            .and_then(|record| Some((reader::decode::<OwnerRecord>(record)?, record.version)));
+        let found = record.and_then(|record| Some((reader::decode_owner(record)?, record.version)));
         let Some((found, version)) = found else {
             return Err(WriteError::Fenced);
         };
@@ -267,7 +266,7 @@
         let shard = self.shard;
         let mut transaction = Transaction {
             expected: vec![(layout::owner_key(shard), self.version)],
-            puts: vec![(layout::owner_key(shard), encode(&self.owner)?)],
+            puts: vec![(layout::owner_key(shard), encode_owner(&self.owner)?)],
             removals: Vec::new(),
         };
         let exists = |id: &WorkflowId| outcome.existing.iter().any(|(known, _)| known == id);
@@ -313,6 +312,12 @@
     Ok(())
 }
 
+fn encode_owner(owner: &OwnerRecord) -> Result<Vec<u8>, StoreError> {
+    owner
+        .encode()
+        .map_err(|error| StoreError::Rejected(error.to_string()))
+}
+
 pub(super) fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
     record::encode(value).map_err(|error| StoreError::Rejected(error.to_string()))
 }
--- a/src/coordinator/layout.rs
+++ b/src/coordinator/layout.rs
@@ -7,9 +7,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::shards::ShardId;
-use crate::model::VmName;
+use crate::model::{VmName, WorkerName};
 use crate::port::record_store::RecordKey;
-use crate::workflow::{ParseIdError, WorkflowId, WorkflowSpec};
+use crate::workflow::record::{self, RecordCodecError};
+use crate::workflow::{LongLeases, ParseIdError, WorkflowId, WorkflowSpec};
 
 /// The table of the record that holds the number of shards.
 const SHARDS: &str = "shards";
@@ -49,6 +50,16 @@
     pub(super) transaction: u64,
     /// Whether the owner has released the shard, so that another VM can take over at once.
     pub(super) released: bool,
+    /// Where a successor has to wait for longer.
+    #[serde(skip)]
+    pub(super) long_leases: LongLeases,
+}
+
+/// An owner record in the store. Earlier programs write only the owner, and read no more than that.
+#[derive(Serialize, Deserialize)]
+struct StoredOwner {
+    owner: OwnerRecord,
+    long_leases: Vec<WorkerName>,
 }
 
 impl OwnerRecord {
@@ -56,6 +67,36 @@
     pub(super) fn is_same_process(&self, other: &Self) -> bool {
         self.vm == other.vm && self.started_unix_ms == other.started_unix_ms
     }
+
+    /// Encodes the record for the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value cannot be serialized.
+    pub(super) fn encode(&self) -> Result<Vec<u8>, RecordCodecError> {
+        match &self.long_leases {
+            LongLeases::AnyWorker => record::encode(self),
+            LongLeases::Workers(workers) => record::encode(&StoredOwner {
+                owner: self.clone(),
+                long_leases: workers.clone(),
+            }),
+        }
+    }
+
+    /// Decodes a record from the store.
+    ///
+    /// # Errors
+    ///
+    /// See [`RecordCodecError`].
+    pub(super) fn decode(bytes: &[u8]) -> Result<Self, RecordCodecError> {
+        match record::decode::<StoredOwner>(bytes) {
+            Ok(stored) => Ok(Self {
+                long_leases: LongLeases::Workers(stored.long_leases),
+                ..stored.owner
+            }),
+            Err(_) => record::decode(bytes),
+        }
+    }
 }
 
 /// A request that a VM wrote to an inbox of the shard for its owner.
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -440,6 +440,7 @@
             self.engine.begin_release(now);
         }
         let batch = batch.unwrap_or_default();
+        writer.owner.long_leases = self.engine.long_leases(&batch, now);
         let (store, health, actor_ref) = (
             self.ports.store.clone(),
             self.health.clone(),
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -13,7 +13,9 @@
     Record, RecordKey, SharedRecordStore, StoreCall, StoreError, StoreReply,
 };
 use crate::workflow::WorkflowId;
-use crate::workflow::record::{self, WorkflowProgress, WorkflowRecord, WorkflowState};
+use crate::workflow::record::{
+    self, RecordCodecError, WorkflowProgress, WorkflowRecord, WorkflowState,
+};
 
 /// The timeout of one store call. The store responds within 4 ms, and up to sixty times slower during a
 /// disturbance.
@@ -71,7 +73,7 @@
         return Ok(None);
     };
     let version = record.version;
-    Ok(decode::<OwnerRecord>(&record).map(|owner| (owner, version)))
+    Ok(decode_owner(&record).map(|owner| (owner, version)))
 }
 
 /// Reads the state of a workflow; `None` if the store has neither a record nor an inbox entry of it.
@@ -279,8 +281,20 @@
 
 /// Decodes a record; `None` if it is removed or cannot be decoded. The latter is logged.
 pub(super) fn decode<T: DeserializeOwned>(record: &Record) -> Option<T> {
+    decode_with(record, record::decode)
+}
+
+/// Decodes an owner record like [`decode`].
+pub(super) fn decode_owner(record: &Record) -> Option<OwnerRecord> {
+    decode_with(record, OwnerRecord::decode)
+}
+
+fn decode_with<T>(
+    record: &Record,
+    decode: impl Fn(&[u8]) -> Result<T, RecordCodecError>,
+) -> Option<T> {
     let value = record.value.as_deref()?;
-    match record::decode(value) {
+    match decode(value) {
         Ok(decoded) => Some(decoded),
         Err(error) => {
             tracing::error!(table = %record.key.table, key = %record.key.key, %error,
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -1,6 +1,7 @@
 //! The changes to commit to the store, and the handling of commit results.
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::Duration;
 
 use serde::Serialize;
 
@@ -10,6 +11,7 @@
 use crate::workflow::fleet::WorkerKey;
 use crate::workflow::record::{self, WorkflowProgress, WorkflowRecord, WorkflowState, text_len};
 use crate::workflow::spec::{TaskId, WorkflowId};
+use crate::workflow::tenure::{LongLeases, TENURE, with_clock_margin};
 
 /// The number of changes in a batch from which on isolating a rejected change has ended.
 const MAX_ISOLATED_CHANGES: usize = 128;
@@ -316,6 +318,22 @@
         }
     }
 
+    /// Where leases may be long if this owner is replaced after a write at `now`, including the workers
+    /// on which runs start once `batch` is committed.
+    pub fn long_leases(&self, batch: &CommitBatch, now: Time) -> LongLeases {
+        let lease = Duration::from_millis(self.cfg.lease_ms);
+        // A successor waits for the tenure first, unless this owner releases the shard.
+        let acts_until = self.tenure.ends_at().min(now + TENURE).max(now);
+        let ordinary_until = acts_until + with_clock_margin(lease);
+        let starting: HashSet<WorkerKey> = batch.starts.iter().map(|(key, ..)| *key).collect();
+        let workers = self.fleet.iter();
+        let long = workers.filter(|(key, worker)| {
+            starting.contains(key) || worker.may_have_lease_after(ordinary_until)
+        });
+        let names = long.map(|(_, worker)| worker.listing.name.clone());
+        LongLeases::Workers(names.collect())
+    }
+
     /// The acknowledgements to send to workers once all changes so far are committed.
     fn end_acks(&self) -> Vec<EndAck> {
         let workers = self.fleet.iter();
--- a/src/workflow/engine/completion.rs
+++ b/src/workflow/engine/completion.rs
@@ -6,6 +6,7 @@
 use crate::model::Time;
 use crate::port::executor::{EndedRun, RunEnd};
 use crate::workflow::active::TaskStatus;
+use crate::workflow::ended::Ended;
 use crate::workflow::fleet::{ReservedRun, WorkerKey};
 use crate::workflow::run_end::{EndAction, Standing, StepKind, action, counts_as_failure};
 use crate::workflow::spec::{StepId, TaskId, WorkflowId};
@@ -52,7 +53,9 @@
         let checkpoint = checkpoint.filter(|_| ended.end != RunEnd::Done);
         match action(kind, ended.end, standing) {
             EndAction::Complete => self.complete_task(task, ended.run, now),
-            EndAction::Requeue => self.requeue_task(task, checkpoint, now + RETRY_DELAY),
+            EndAction::Requeue => {
+                self.requeue_task(task, checkpoint, now + RETRY_DELAY, Ended::reported());
+            }
             EndAction::KeepCheckpoint => self.store_checkpoint(task, checkpoint),
             EndAction::Ignore => {}
         }
@@ -202,13 +205,17 @@
         }
     }
 
-    /// Makes a task wait again. If it belongs to a gang, the other members are stopped.
+    /// Makes a task wait again whose run has ended. If it belongs to a gang, the other members are
+    /// stopped.
     pub(super) fn requeue_task(
         &mut self,
         task: TaskId,
         checkpoint: Option<String>,
         not_before: Time,
+        proof: Ended,
     ) {
+        tracing::debug!(request = %task.step.workflow, task = %task, evidence = %proof.evidence(),
+            "the run of a task has ended; the task waits");
         self.store_checkpoint(task, checkpoint);
         let Some(active) = self.active.get_mut(&task.step.workflow) else {
             return;
--- a/src/workflow/engine/crashes.rs
+++ b/src/workflow/engine/crashes.rs
@@ -7,9 +7,9 @@
 use crate::model::{Time, WorkerName};
 use crate::workflow::active::StepState;
 use crate::workflow::crash::{LostRun, MAX_CRASHES, PROBATION, blamed, max_workers_on_probation};
-use crate::workflow::fleet::WorkerKey;
+use crate::workflow::fleet::{ReservedRun, WorkerKey};
 use crate::workflow::record::PlacedRun;
-use crate::workflow::spec::StepId;
+use crate::workflow::spec::{StepId, TaskId};
 
 impl Engine {
     /// Blames the crash of a worker process on the runs that it had just started.
@@ -26,6 +26,26 @@
         }
     }
 
+    /// Blames the crash of an earlier worker process on a run that has ended with it.
+    pub(super) fn blame_suspect(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        reserved: &ReservedRun,
+        now: Time,
+    ) {
+        let worker = self.fleet.get(key);
+        if let (Some(worker), Some(boot)) = (worker, reserved.suspected_of) {
+            let placed = PlacedRun {
+                index: task.index,
+                run: reserved.run,
+                worker: worker.listing.name.clone(),
+                boot,
+            };
+            self.add_crash(task.step, placed, now);
+        }
+    }
+
     /// Counts a crash under a task, and gives the task up after [`MAX_CRASHES`].
     pub(super) fn add_crash(&mut self, step: StepId, run: PlacedRun, now: Time) {
         let Some(active) = self.active.get_mut(&step.workflow) else {
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -117,8 +117,10 @@
 struct Recovery {
     /// The workers that have not responded yet.
     pending_workers: HashSet<WorkerKey>,
-    /// When all leases granted by earlier owners have expired.
-    leases_expire_at: Time,
+    /// Until when earlier owners may have granted leases.
+    granted_until: Time,
+    /// When all these leases have expired, on any worker.
+    all_leases_expire_at: Time,
 }
 
 /// The workflow engine of a shard.
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -7,7 +7,8 @@
 use crate::model::Time;
 use crate::port::executor::{ActiveRun, ExecutorError, PollRequest, PollResponse, Rejection};
 use crate::workflow::active::TaskStatus;
-use crate::workflow::fleet::{ReservedRun, RunState, Worker, WorkerKey, as_millis};
+use crate::workflow::ended::{Ended, RunList, RunState};
+use crate::workflow::fleet::{ReservedRun, Worker, WorkerKey, as_millis};
 use crate::workflow::policy::URGENT_PRIORITY;
 use crate::workflow::spec::TaskId;
 
@@ -174,7 +175,7 @@
             return;
         }
         if response.boot > worker.listing.boot {
-            self.worker_restarted(key, response, now);
+            self.worker_restarted(key, sent_at, response, now);
         }
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
@@ -207,7 +208,7 @@
             self.placement_due = true;
         }
         self.retract_crashes(key);
-        self.worker_recovered(key, now);
+        self.worker_recovered(key, &run_list(response, sent_at), now);
         self.schedule_next_poll(key, now);
         if was_unresponsive {
             // The poll that reached the worker carried no lease, so that the next one is due at
@@ -243,10 +244,7 @@
         if let Some(worker) = self.fleet.get_mut(key) {
             worker.unknown_runs = unknown;
         }
-        // If the list of ended runs is full, it may lack a run that has just ended.
-        if response.ended.len() < MAX_ENDED_PER_RESPONSE {
-            self.handle_missing_runs(key, sent_at, &listed, now);
-        }
+        self.handle_missing_runs(key, &run_list(response, sent_at), &listed, now);
     }
 
     /// Confirms a reserved run as active; false if no capacity is reserved for it.
@@ -264,6 +262,8 @@
         let Some(reserved) = reserved.filter(|reserved| reserved.run == active_run.run) else {
             return false;
         };
+        reserved.process = Some(worker.listing.boot);
+        reserved.suspected_of = None;
         match reserved.state {
             RunState::Assigned | RunState::Starting | RunState::OutcomeUnknown(_) => {
                 reserved.state = RunState::Running(now);
@@ -321,6 +321,8 @@
             run: active_run.run,
             reserved: spec.reserved(),
             state: RunState::Running(now),
+            process: self.fleet.get(key).map(|worker| worker.listing.boot),
+            suspected_of: None,
             priority,
             estimate_ms: 0,
             started_at: now,
@@ -342,50 +344,50 @@
     fn handle_missing_runs(
         &mut self,
         key: WorkerKey,
-        sent_at: Time,
+        list: &RunList,
         listed: &HashSet<(TaskId, u32)>,
         now: Time,
     ) {
         let Some(worker) = self.fleet.get(key) else {
             return;
         };
-        let response_boot = worker.listing.boot;
         let missing = worker.runs.iter();
         let missing = missing.filter(|(task, reserved)| !listed.contains(&(**task, reserved.run)));
         let missing: Vec<(TaskId, ReservedRun)> =
             missing.map(|(task, reserved)| (*task, *reserved)).collect();
         for (task, reserved) in missing {
-            match reserved.state {
-                // The poll may have reached the worker before the start request.
-                RunState::Assigned | RunState::Starting => {}
-                RunState::Running(since) if since >= sent_at => {}
-                RunState::OutcomeUnknown(since) if since >= sent_at => {}
-                RunState::OutcomeUnknown(_) => self.stop_run(key, task, reserved.run, now),
-                RunState::Stopping { response_at, .. }
-                    if response_at.is_some_and(|at| at < sent_at) =>
-                {
-                    self.release_and_requeue(key, task, now);
+            match (reserved.state, Ended::by_list(&reserved.known(), list)) {
+                // The placement is being committed.
+                (RunState::Assigned, _) => {}
+                (state, Some(proof)) => {
+                    if matches!(state, RunState::Running(_)) {
+                        tracing::warn!(
+                            request = %task.step.workflow,
+                            task = %task,
+                            run = reserved.run,
+                            worker = self.worker_name(key),
+                            boot = list.process,
+                            poll_age_ms = as_millis(now.since(list.polled_at)),
+                            token = self.fencing_token,
+                            "run is missing on its worker without a reported end; requeuing its task"
+                        );
+                    }
+                    self.blame_suspect(key, task, &reserved, now);
+                    self.release_and_requeue(key, task, now, proof);
                 }
-                RunState::Stopping {
-                    sent_at: stop_sent,
-                    response_at: None,
-                } if now.since(stop_sent) >= STOP_RETRY_INTERVAL => {
-                    self.resend_stop(key, task, reserved.run, now);
+                (RunState::OutcomeUnknown(since), None) if since < list.polled_at => {
+                    self.stop_run(key, task, reserved.run, now);
                 }
-                RunState::Stopping { .. } => {}
-                RunState::Running(_) => {
-                    tracing::warn!(
-                        request = %task.step.workflow,
-                        task = %task,
-                        run = reserved.run,
-                        worker = self.worker_name(key),
-                        boot = response_boot,
-                        poll_age_ms = as_millis(now.since(sent_at)),
-                        token = self.fencing_token,
-                        "run is missing on its worker without a reported end; requeuing its task"
-                    );
-                    self.release_and_requeue(key, task, now);
+                (
+                    RunState::Stopping {
+                        sent_at,
+                        response_at: None,
+                    },
+                    None,
+                ) if now.since(sent_at) >= STOP_RETRY_INTERVAL => {
+                    self.resend_stop(key, task, reserved.run, now);
                 }
+                (_, None) => {}
             }
         }
     }
@@ -415,6 +417,16 @@
     }
 }
 
+/// The list of runs in the response to a poll that was sent at `sent_at`.
+pub(super) fn run_list(response: &PollResponse, sent_at: Time) -> RunList {
+    RunList {
+        process: response.boot,
+        polled_at: sent_at,
+        // A full list may lack a run that has ended.
+        is_complete: response.ended.len() < MAX_ENDED_PER_RESPONSE,
+    }
+}
+
 /// The interval until the next poll of a worker, during which ended runs accumulate on it.
 fn poll_interval(worker: &Worker) -> Duration {
     let is_unconfirmed = |reserved: &ReservedRun| {
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -6,7 +6,8 @@
 use crate::model::Time;
 use crate::port::executor::{ExecutorError, Rejection, StartRequest, WorkerTarget};
 use crate::workflow::active::TaskStatus;
-use crate::workflow::fleet::{ReservedRun, RunState, Worker, WorkerKey};
+use crate::workflow::ended::{Ended, RunState};
+use crate::workflow::fleet::{ReservedRun, Worker, WorkerKey};
 use crate::workflow::spec::{StepSpec, TaskId};
 
 /// The delay before a task is placed again after its start failed.
@@ -61,6 +62,8 @@
                 run,
                 reserved: spec.reserved(),
                 state: RunState::Assigned,
+                process: None,
+                suspected_of: None,
                 priority,
                 estimate_ms: spec.estimate_ms,
                 started_at: now,
@@ -87,7 +90,7 @@
                 worker.is_some_and(|worker| worker.is_usable(now) && !worker.is_over_capacity());
             let may_start = may_start && self.tenure.permits(now);
             if !may_start || !self.start_run(*key, *task, *run, now) {
-                self.release_and_requeue(*key, *task, now + REJECTED_DELAY);
+                self.release_and_requeue(*key, *task, now + REJECTED_DELAY, Ended::not_sent());
             }
         }
     }
@@ -175,7 +178,7 @@
             return;
         }
         if reserved.state == RunState::Assigned {
-            self.release_and_requeue(key, task, now);
+            self.release_and_requeue(key, task, now, Ended::not_sent());
             return;
         }
         reserved.state = RunState::Stopping {
@@ -223,8 +226,10 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
+        let boot = worker.listing.boot;
+        let mut by_known_process = false;
         if let Ok(clock_ms) = response {
-            worker.check_clock(clock_ms, now);
+            by_known_process = worker.check_clock(clock_ms, now);
             worker.record_response(now);
         }
         let name = worker.listing.name.clone();
@@ -243,6 +248,10 @@
                 ) {
                     reserved.state = RunState::Running(now);
                 }
+                // A run that is suspected of a crash may have been on the earlier process.
+                if by_known_process && reserved.suspected_of.is_none() {
+                    reserved.process = Some(boot);
+                }
             }
             Err(ExecutorError::NoAnswer(reason)) => {
                 if reserved.state == RunState::Starting {
@@ -259,7 +268,7 @@
                     reason,
                     "start request was not sent; setting worker aside and requeuing task");
                 worker.set_aside(now);
-                self.release_and_requeue(key, task, now + REJECTED_DELAY);
+                self.release_and_requeue(key, task, now + REJECTED_DELAY, Ended::not_sent());
             }
             Err(ExecutorError::Rejected(rejection)) => {
                 tracing::warn!(request = %task.step.workflow, task = %task, run, worker = %name,
@@ -300,7 +309,7 @@
         if let Some(state) = self.step_mut(task.step) {
             state.last_run = state.last_run.max(run);
         }
-        self.release_and_requeue(key, task, now + delay);
+        self.release_and_requeue(key, task, now + delay, Ended::rejected());
     }
 
     fn drop_permit(&mut self, key: WorkerKey, task: TaskId) {
@@ -310,7 +319,13 @@
     }
 
     /// Releases the capacity of a run that did not start or is gone; its task waits again.
-    pub(super) fn release_and_requeue(&mut self, key: WorkerKey, task: TaskId, not_before: Time) {
+    pub(super) fn release_and_requeue(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        not_before: Time,
+        proof: Ended,
+    ) {
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
@@ -318,7 +333,7 @@
             return;
         };
         if self.task_status(task) == Some(TaskStatus::Placed(key, reserved.run)) {
-            self.requeue_task(task, None, not_before);
+            self.requeue_task(task, None, not_before, proof);
         }
         self.placement_due = true;
     }
--- a/src/workflow/engine/submission.rs
+++ b/src/workflow/engine/submission.rs
@@ -1,15 +1,16 @@
 //! Submissions, cancellations, workflows loaded from the store, recovery, and occurrences.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use super::{Effect, Engine, Recovery, ReplyToken};
-use crate::model::{Time, WorkerName};
+use crate::model::Time;
 use crate::workflow::active::ActiveWorkflow;
-use crate::workflow::fleet::{WorkerKey, as_millis};
+use crate::workflow::ended::{Ended, Evidence, RunList};
+use crate::workflow::fleet::{MAX_DELIVERY, WorkerKey, as_millis};
 use crate::workflow::record::{PlacedRun, WorkflowProgress, WorkflowRecord, WorkflowState};
 use crate::workflow::spec::{StepId, WorkflowId, WorkflowSpec};
-use crate::workflow::tenure::with_clock_margin;
+use crate::workflow::tenure::{Predecessor, with_clock_margin};
 
 /// The immediate status of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -190,14 +191,26 @@
         self.enqueue_steps(id);
     }
 
-    /// Begins the recovery of the runs that earlier owners started, the last of which acted until
-    /// `predecessor_ends_at` at the latest. Must be called before workflows are loaded.
-    pub fn begin_recovery(&mut self, predecessor_ends_at: Time) {
+    /// Begins the recovery of the runs that earlier owners started. Must be called before workflows are
+    /// loaded.
+    pub fn begin_recovery(&mut self, predecessor: &Predecessor) {
+        let granted_until = predecessor.ends_at;
         let lease = Duration::from_millis(self.cfg.lease_ms);
-        let pending_workers = self.fleet.keys().into_iter().collect();
+        let max_lease = Duration::from_millis(self.cfg.max_lease_ms);
+        let leases_expire_at = granted_until + with_clock_margin(lease);
+        let all_leases_expire_at = granted_until + MAX_DELIVERY + with_clock_margin(max_lease);
+        for (_, worker) in self.fleet.iter_mut() {
+            let expires_at = if predecessor.long_leases.include(&worker.listing.name) {
+                all_leases_expire_at
+            } else {
+                leases_expire_at
+            };
+            worker.inherit_leases(granted_until, expires_at);
+        }
         self.recovery = Some(Recovery {
-            pending_workers,
-            leases_expire_at: predecessor_ends_at + with_clock_margin(lease),
+            pending_workers: self.fleet.keys().into_iter().collect(),
+            granted_until,
+            all_leases_expire_at,
         });
     }
 
@@ -206,26 +219,29 @@
         self.recovery.is_none()
     }
 
-    /// Marks the worker as recovered: all runs on it are known.
-    pub(super) fn worker_recovered(&mut self, key: WorkerKey, now: Time) {
+    /// Marks the worker as recovered if all runs on it are known.
+    pub(super) fn worker_recovered(&mut self, key: WorkerKey, list: &RunList, now: Time) {
         let Some(recovery) = &mut self.recovery else {
             return;
         };
-        if !recovery.pending_workers.remove(&key) {
+        if !list.is_complete || !recovery.pending_workers.remove(&key) {
             return;
         }
         if let Some(worker) = self.fleet.get(key) {
-            let (name, boot) = worker.process();
-            self.clear_unverified(Some((&name, boot)), now);
+            let name = worker.listing.name.clone();
+            let ended = |run: &PlacedRun| {
+                let is_on_worker = run.worker == name;
+                is_on_worker.then(|| Ended::by_fenced_list(run.boot, list))?
+            };
+            self.clear_unverified(ended, now);
             self.placement_due = true;
         }
     }
 
-    /// Clears the mark of tasks that an earlier owner may have started on `worker`, or on any
-    /// worker if it is `None`: their runs are known by now or have ended. Those of a process that
-    /// is gone or silent count as crashed.
-    fn clear_unverified(&mut self, worker: Option<(&WorkerName, u64)>, now: Time) {
-        let mut crashed = Vec::new();
+    /// Clears the mark of tasks that an earlier owner may have started if `ended` proves that their
+    /// runs have ended. Those of a process that is gone or silent count as crashed.
+    fn clear_unverified(&mut self, ended: impl Fn(&PlacedRun) -> Option<Ended>, now: Time) {
+        let mut cleared = Vec::new();
         for (id, active) in &mut self.active {
             for ((occurrence, step), state) in &mut active.steps {
                 let step = StepId {
@@ -233,21 +249,23 @@
                     occurrence: *occurrence,
                     step: *step,
                 };
-                let is_cleared =
-                    |run: &mut PlacedRun| worker.is_none_or(|(name, _)| run.worker == *name);
-                let tasks = state.tasks.iter_mut();
-                let cleared = tasks.filter_map(|task| task.unverified.take_if(is_cleared));
-                let cleared = cleared.inspect(|run| {
-                    tracing::info!(request = %step.workflow, task = %step.task(run.index), run = run.run,
-                        worker = %run.worker, boot = run.boot, responding_boot = ?worker.map(|(_, boot)| boot),
-                        token = self.fencing_token,
-                        "a run that an earlier owner placed is not on its worker; its task may start again");
-                });
-                let gone = |run: &PlacedRun| worker.is_none_or(|(_, boot)| run.boot < boot);
-                crashed.extend(cleared.filter(gone).map(|run| (step, run)));
+                for task in &mut state.tasks {
+                    if let Some(proof) = task.unverified.as_ref().and_then(&ended)
+                        && let Some(run) = task.unverified.take()
+                    {
+                        cleared.push((step, run, proof));
+                    }
+                }
             }
         }
-        for (step, run) in crashed {
+        for (step, run, proof) in cleared {
+            tracing::info!(request = %step.workflow, task = %step.task(run.index), run = run.run,
+                worker = %run.worker, boot = run.boot, evidence = %proof.evidence(),
+                token = self.fencing_token,
+                "a run that an earlier owner placed has ended; its task may start again");
+            if proof.evidence() == Evidence::Absent {
+                continue;
+            }
             let worker = self.fleet.key(&run.worker);
             let worker = worker.and_then(|key| self.fleet.get(key));
             if worker.is_some_and(|worker| worker.listing.draining) {
@@ -258,21 +276,52 @@
         }
     }
 
+    fn has_unverified_run(&self) -> bool {
+        let steps = self
+            .active
+            .values()
+            .flat_map(|active| active.steps.values());
+        let mut tasks = steps.flat_map(|state| &state.tasks);
+        tasks.any(|task| task.unverified.is_some())
+    }
+
+    /// Gives up the pending workers whose leases have expired, and ends the recovery if none is left.
     pub(super) fn end_recovery(&mut self, now: Time) {
-        let Some(recovery) = &self.recovery else {
+        let Some(recovery) = &mut self.recovery else {
             return;
         };
-        if !recovery.pending_workers.is_empty() && now < recovery.leases_expire_at {
+        let all_leases_expire_at = recovery.all_leases_expire_at;
+        let mut silent = HashMap::new();
+        recovery.pending_workers.retain(|key| {
+            let Some(worker) = self.fleet.get(*key) else {
+                return false;
+            };
+            let expires_at = worker.lease_expires_at;
+            if now > expires_at {
+                silent.insert(worker.listing.name.clone(), expires_at);
+            }
+            now <= expires_at
+        });
+        let is_complete = recovery.pending_workers.is_empty();
+        if !silent.is_empty() {
+            tracing::info!(
+                unanswered = silent.len(),
+                "workers have not responded to a new owner until their leases expired"
+            );
+            let ended = |run: &PlacedRun| Ended::by_lease(*silent.get(&run.worker)?, now);
+            self.clear_unverified(ended, now);
+            self.placement_due = true;
+        }
+        if !is_complete || (now <= all_leases_expire_at && self.has_unverified_run()) {
             return;
         }
         tracing::info!(
-            unanswered = recovery.pending_workers.len(),
             workflows = self.active.len(),
-            time_left_ms = as_millis(recovery.leases_expire_at.since(now)),
+            time_left_ms = as_millis(all_leases_expire_at.since(now)),
             "recovery after takeover is complete; placing the tasks that do not run"
         );
         self.recovery = None;
-        self.clear_unverified(None, now);
+        self.clear_unverified(|_| Ended::by_lease(all_leases_expire_at, now), now);
         self.stop_incomplete_gangs(now);
         self.placement_due = true;
     }
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use super::Engine;
+use super::polling::run_list;
 use crate::model::{Time, WorkerName};
 use crate::port::executor::{PollResponse, WorkerListing};
+use crate::workflow::active::TaskStatus;
 use crate::workflow::crash::LostRun;
+use crate::workflow::ended::Ended;
 use crate::workflow::fleet::{Worker, WorkerKey};
 
 /// How long an unlisted worker without tasks is kept, so that its state survives an outage after
@@ -18,7 +21,11 @@
         let Some(key) = self.fleet.key(&listing.name) else {
             tracing::info!(worker = %listing.name, boot = listing.boot,
                 "worker added from the platform's list; polling it");
-            let key = self.fleet.insert(Worker::new(listing, true, now));
+            let mut worker = Worker::new(listing, true, now);
+            if let Some(recovery) = &self.recovery {
+                worker.inherit_leases(recovery.granted_until, recovery.all_leases_expire_at);
+            }
+            let key = self.fleet.insert(worker);
             self.mark_stored_part(key);
             return;
         };
@@ -102,40 +109,45 @@
         }
     }
 
-    /// Handles a restart of the worker process; the runs of the old process are lost.
-    pub(super) fn worker_restarted(&mut self, key: WorkerKey, response: &PollResponse, now: Time) {
+    /// Handles the response of a worker process that has replaced the known one. `sent_at` is when the
+    /// poll was sent.
+    pub(super) fn worker_restarted(
+        &mut self,
+        key: WorkerKey,
+        sent_at: Time,
+        response: &PollResponse,
+        now: Time,
+    ) {
+        let max_lease_ms = self.cfg.max_lease_ms;
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
         let process = worker.process();
-        let lost = worker.reset_for_process(response.boot, now);
+        let list = run_list(response, sent_at);
+        let is_named = |task, run| response.names_run(task, run);
+        let lost = worker.reset_for_process(&list, max_lease_ms, is_named, now);
         tracing::info!(
             worker = %worker.listing.name,
             boot = response.boot,
             earlier_boot = process.1,
             lost = lost.len(),
+            kept = worker.runs.len(),
             token = self.fencing_token,
             "worker process restarted; requeuing the tasks of its lost runs"
         );
-        // A start request may have reached the new process.
-        let is_on_new_process = |lost: &LostRun| response.names_run(lost.task, lost.run);
-        let mut crashed = lost.clone();
-        crashed.retain(|lost| !is_on_new_process(lost));
+        let crashed: Vec<LostRun> = lost.iter().map(|(lost, _)| *lost).collect();
         self.blame_crash(&process, &crashed, now);
-        self.requeue_lost_runs(key, &lost, "its process was replaced", now);
+        self.requeue_lost_runs(key, &lost, now);
     }
 
-    fn requeue_lost_runs(&mut self, key: WorkerKey, lost: &[LostRun], evidence: &str, now: Time) {
-        for LostRun { task, run, .. } in lost {
-            let on_worker = matches!(
-                self.task_status(*task),
-                Some(crate::workflow::active::TaskStatus::Placed(at, _)) if at == key
-            );
-            if on_worker {
+    fn requeue_lost_runs(&mut self, key: WorkerKey, lost: &[(LostRun, Ended)], now: Time) {
+        for (LostRun { task, run, .. }, proof) in lost {
+            if self.task_status(*task) == Some(TaskStatus::Placed(key, *run)) {
                 tracing::warn!(request = %task.step.workflow, task = %task, run,
-                    worker = self.worker_name(key), evidence, token = self.fencing_token,
+                    worker = self.worker_name(key), evidence = %proof.evidence(),
+                    token = self.fencing_token,
                     "run lost by a restart or an expired lease of its worker; requeuing task");
-                self.requeue_task(*task, None, now);
+                self.requeue_task(*task, None, now, *proof);
             }
         }
         self.placement_due = true;
@@ -144,22 +156,29 @@
     /// Requeues the runs of workers that were unresponsive until their leases expired, and removes
     /// unlisted workers.
     pub(super) fn drop_expired(&mut self, now: Time) {
+        let max_lease_ms = self.cfg.max_lease_ms;
         for key in self.fleet.keys() {
             let Some(worker) = self.fleet.get_mut(key) else {
                 continue;
             };
-            let expired = worker.is_unresponsive() && now > worker.lease_expires_at;
-            if expired && !worker.runs.is_empty() {
-                let process = worker.process();
-                let lost = worker.take_lost_runs();
-                worker.knows_fencing_token = false;
+            if !worker.is_unresponsive() {
+                continue;
+            }
+            let process = worker.process();
+            let is_draining = worker.listing.draining;
+            let lost = worker.take_expired_runs(max_lease_ms, now);
+            if !lost.is_empty() {
+                let has_lapsed = lost.iter().any(|(lost, _)| lost.may_have_started);
+                worker.knows_fencing_token &= !has_lapsed;
+                let crashed: Vec<LostRun> = lost.iter().map(|(lost, _)| *lost).collect();
                 // A worker that was about to leave has not crashed.
-                if !worker.listing.draining {
-                    self.blame_crash(&process, &lost, now);
+                if !is_draining {
+                    self.blame_crash(&process, &crashed, now);
                 }
-                self.requeue_lost_runs(key, &lost, "its lease has expired", now);
+                self.requeue_lost_runs(key, &lost, now);
                 continue;
             }
+            let expired = now > worker.lease_expires_at;
             let idle = worker.runs.is_empty() && worker.unknown_runs == 0;
             let outdated = now.since(worker.last_poll) > UNLISTED_RETENTION;
             if !worker.listed && idle && expired && outdated && self.recovery.is_none() {
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -8,6 +8,7 @@
 use slotmap::new_key_type;
 
 use super::crash::{LostRun, PROBATION};
+use super::ended::{Ended, KnownRun, LeaseEnds, RunList, RunState};
 use super::policy::URGENT_PRIORITY;
 use super::spec::{TaskId, WorkflowId};
 use super::urgent_reserve::RESERVED_PERCENT;
@@ -43,6 +44,9 @@
 /// the granularity of both clocks.
 const CLOCK_TOLERANCE_MS: u64 = 1_000;
 
+/// How long a request takes to reach its worker at most, unless the worker delays it.
+pub(super) const MAX_DELIVERY: Duration = Duration::from_secs(1);
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ClockReading {
@@ -50,38 +54,37 @@
     read_at: Time,
 }
 
-/// The state of a run on a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RunState {
-    /// The placement is not committed yet, and no start request has been sent.
-    Assigned,
-    /// The start request is in flight.
-    Starting,
-    /// The worker has confirmed the run; the time is when the response arrived.
-    Running(Time),
-    /// The start request got no response; the time is when this was noticed.
-    OutcomeUnknown(Time),
-    /// A stop request has been sent.
-    Stopping {
-        /// When the stop request was last sent.
-        sent_at: Time,
-        /// When the first response to it arrived; after that the run can no longer start.
-        response_at: Option<Time>,
-    },
-}
-
 /// A run for which capacity is reserved on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ReservedRun {
     pub(super) run: u32,
     pub(super) reserved: Resources,
     pub(super) state: RunState,
+    /// The worker process that has the run, if a response has shown which one.
+    pub(super) process: Option<u64>,
+    /// The worker process whose crash is blamed on the run if the run has ended with it.
+    pub(super) suspected_of: Option<u64>,
     /// The priority of its queue; 0 is the most urgent.
     pub(super) priority: u8,
     pub(super) estimate_ms: u32,
     pub(super) started_at: Time,
 }
 
+impl ReservedRun {
+    /// What decides whether the run has ended.
+    pub(super) fn known(&self) -> KnownRun {
+        KnownRun {
+            state: self.state,
+            process: self.process,
+        }
+    }
+
+    /// Whether the run may be on another process than the known one.
+    fn is_unconfirmed(&self) -> bool {
+        self.process.is_none() && self.state != RunState::Assigned
+    }
+}
+
 /// The state of a worker.
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
@@ -121,8 +124,12 @@
     pub(super) next_poll: Option<Time>,
     /// When the last successful poll was sent.
     pub(super) last_poll: Time,
-    /// When all leases that may have been granted have expired.
+    /// When all leases that the known process may have been granted have expired.
     pub(super) lease_expires_at: Time,
+    /// When a lease was last granted, by this owner or an earlier one.
+    last_grant: Option<Time>,
+    /// When the known process first responded.
+    first_response: Option<Time>,
     /// When the last response arrived.
     last_response: Time,
     /// When the last start request was sent.
@@ -162,6 +169,8 @@
             next_poll: Some(now),
             last_poll: now,
             lease_expires_at: now,
+            last_grant: None,
+            first_response: None,
             last_response: now,
             last_start: None,
             probation: None,
@@ -174,16 +183,40 @@
         }
     }
 
-    /// Resets the state for a new worker process, and returns the runs lost with the old one.
-    pub(super) fn reset_for_process(&mut self, boot: u64, now: Time) -> Vec<LostRun> {
-        let lost = self.take_lost_runs();
-        let mut listing = self.listing.clone();
-        listing.boot = boot;
-        let (speed, successes, part) = (self.speed, self.successes, self.part);
-        let poll_in_flight = self.poll_in_flight;
-        *self = Self::new(listing, self.listed, now);
-        (self.speed, self.successes, self.part) = (speed, successes, part);
-        self.poll_in_flight = poll_in_flight;
+    /// Resets the state for the worker process that sent `list`, and returns the runs that are lost
+    /// with the earlier one. Runs that `is_named` in the response, and those whose start may still
+    /// reach the new process, are kept.
+    pub(super) fn reset_for_process(
+        &mut self,
+        list: &RunList,
+        max_lease_ms: u64,
+        is_named: impl Fn(TaskId, u32) -> bool,
+        now: Time,
+    ) -> Vec<(LostRun, Ended)> {
+        let boot = self.listing.boot;
+        let lost = self.take_lost_runs(|task, reserved| {
+            let is_named = is_named(task, reserved.run);
+            (!is_named).then(|| Ended::by_list(&reserved.known(), list))?
+        });
+        let mut next = Self::new(self.listing.clone(), self.listed, now);
+        next.listing.boot = list.process;
+        for (task, mut reserved) in std::mem::take(&mut self.runs) {
+            if reserved.suspected_of.is_none() && self.lasted(&reserved) < PROBATION {
+                reserved.suspected_of = Some(boot);
+            }
+            if let RunState::Stopping { response_at, .. } = &mut reserved.state {
+                // The new process has not seen the stop request.
+                *response_at = None;
+            }
+            next.reserve(task, reserved);
+        }
+        next.part = self.part;
+        (next.speed, next.successes) = (self.speed, self.successes);
+        next.poll_in_flight = self.poll_in_flight;
+        // The new process may have taken leases that were counted by the clock of the earlier one.
+        next.last_grant = self.last_grant;
+        next.lease_expires_at = next.lease_ends(max_lease_ms).any_process;
+        *self = next;
         lost
     }
 
@@ -199,6 +232,7 @@
             && !self.listing.draining
             && self.unknown_runs == 0
             && self.clock.is_some()
+            && self.process_unconfirmed_since.is_none()
             && !self.is_unresponsive()
             && now >= self.set_aside_until
     }
@@ -282,11 +316,12 @@
         Some(run)
     }
 
-    /// Checks the clock in a response to a start or stop request. Such a response does not name the
-    /// worker process, but a clock that jumped means that the worker may have restarted.
-    pub(super) fn check_clock(&mut self, worker_ms: u64, now: Time) {
+    /// Checks the clock in a response to a start or stop request, and returns whether it shows that the
+    /// known process responded. Such a response does not name the worker process, but the clock of a
+    /// new process starts anew.
+    pub(super) fn check_clock(&mut self, worker_ms: u64, now: Time) -> bool {
         let Some(reading) = self.clock else {
-            return;
+            return false;
         };
         let elapsed = as_millis(now.since(reading.read_at));
         let earliest = self.earliest_clock_ms(now).unwrap_or(0);
@@ -298,25 +333,61 @@
         if is_behind || is_ahead {
             tracing::info!(worker = %self.listing.name, worker_ms, expected_ms = earliest,
                 "worker clock jumped, its process may have restarted; next poll renews no lease");
+            if self.process_unconfirmed_since.is_none() {
+                // Beside a long poll that may be in flight: no task starts until the process is known.
+                self.poll_in_flight = false;
+                self.next_poll = Some(now);
+            }
             self.process_unconfirmed_since = Some(now);
-        } else {
-            self.update_clock(worker_ms, now);
+            return false;
         }
+        self.update_clock(worker_ms, now);
+        // The clock of a later process is behind by the time for which this one is known to have run.
+        let known_for = self.first_response.map(|at| self.last_poll.since(at));
+        let min = Duration::from_millis(2 * CLOCK_TOLERANCE_MS);
+        self.process_unconfirmed_since.is_none() && known_for.is_some_and(|known| known > min)
     }
 
     /// The sequence number up to which the worker may forget its ended runs. It is 0 unless the
-    /// committed runs certainly ended in the current worker process: a start request without a
-    /// response may have reached another one.
+    /// committed runs certainly ended in the current worker process: a start request may have reached
+    /// another one.
     pub(super) fn acknowledged_sequence(&self) -> u64 {
-        let awaits_response = |run: &ReservedRun| {
-            matches!(run.state, RunState::Starting | RunState::OutcomeUnknown(_))
-        };
-        if self.process_unconfirmed_since.is_some() || self.runs.values().any(awaits_response) {
+        if self.process_unconfirmed_since.is_some() || self.has_unconfirmed_run() {
             return 0;
         }
         self.committed_sequence
     }
 
+    /// Whether a run may be on another process than the known one.
+    fn has_unconfirmed_run(&self) -> bool {
+        self.runs.values().any(ReservedRun::is_unconfirmed)
+    }
+
+    /// Whether a run on the worker may have a lease after `at`, because it may have been granted to a
+    /// process whose clock was not known.
+    pub(super) fn may_have_lease_after(&self, at: Time) -> bool {
+        self.has_unconfirmed_run() || self.lease_expires_at > at
+    }
+
+    /// Records that an earlier owner may have granted leases until `granted_until`, which expire at
+    /// `expires_at` at the latest.
+    pub(super) fn inherit_leases(&mut self, granted_until: Time, expires_at: Time) {
+        self.last_grant = self.last_grant.max(Some(granted_until));
+        self.lease_expires_at = self.lease_expires_at.max(expires_at);
+    }
+
+    /// When the leases on the worker have certainly expired.
+    pub(super) fn lease_ends(&self, max_lease_ms: u64) -> LeaseEnds {
+        let known_process = self.lease_expires_at;
+        let any_process = self.last_grant.map_or(known_process, |at| {
+            known_process.max(at + MAX_DELIVERY + max_lease_duration(max_lease_ms))
+        });
+        LeaseEnds {
+            known_process,
+            any_process,
+        }
+    }
+
     /// Records that the worker's clock showed `worker_ms` at `now`.
     pub(super) fn update_clock(&mut self, worker_ms: u64, now: Time) {
         let is_older = self
@@ -345,9 +416,9 @@
         let until_ms = self.earliest_clock_ms(now)?.saturating_add(lease_ms);
         let reading = self.clock?;
         let span_ms = until_ms.saturating_sub(reading.worker_ms);
-        let max_ms = span_ms + span_ms * MAX_CLOCK_DRIFT_PERCENT / (100 - MAX_CLOCK_DRIFT_PERCENT);
-        let expires_at = reading.read_at + Duration::from_millis(max_ms + LEASE_MARGIN_MS);
+        let expires_at = reading.read_at + max_lease_duration(span_ms);
         self.lease_expires_at = self.lease_expires_at.max(expires_at);
+        self.last_grant = Some(now);
         Some(until_ms)
     }
 
@@ -368,20 +439,40 @@
     pub(super) fn record_response(&mut self, now: Time) {
         self.failed_requests = 0;
         self.last_response = self.last_response.max(now);
+        self.first_response.get_or_insert(now);
+    }
+
+    /// Releases the runs that have ended according to `ended`, which are lost.
+    pub(super) fn take_lost_runs(
+        &mut self,
+        ended: impl Fn(TaskId, &ReservedRun) -> Option<Ended>,
+    ) -> Vec<(LostRun, Ended)> {
+        let runs = self.runs.iter();
+        let lost = runs.filter_map(|(task, reserved)| {
+            let proof = ended(*task, reserved)?;
+            let lost = LostRun {
+                task: *task,
+                run: reserved.run,
+                may_have_started: reserved.state != RunState::Assigned,
+                lasted: self.lasted(reserved),
+            };
+            Some((lost, proof))
+        });
+        let lost: Vec<(LostRun, Ended)> = lost.collect();
+        for (lost, _) in &lost {
+            self.release(lost.task);
+        }
+        lost
     }
 
-    /// Releases all runs, which are lost.
-    pub(super) fn take_lost_runs(&mut self) -> Vec<LostRun> {
-        let runs: Vec<(TaskId, ReservedRun)> = self.runs.drain().collect();
-        self.reserved = Resources::default();
-        self.urgent = Resources::default();
-        let lost = runs.into_iter().map(|(task, reserved)| LostRun {
-            task,
-            run: reserved.run,
-            may_have_started: reserved.state != RunState::Assigned,
-            lasted: self.lasted(&reserved),
-        });
-        lost.collect()
+    /// Releases the runs that have certainly ended although the worker does not respond.
+    pub(super) fn take_expired_runs(
+        &mut self,
+        max_lease_ms: u64,
+        now: Time,
+    ) -> Vec<(LostRun, Ended)> {
+        let leases = self.lease_ends(max_lease_ms);
+        self.take_lost_runs(|_, reserved| Ended::by_silence(&reserved.known(), &leases, now))
     }
 
     /// How long the worker has responded after the start of the run.
@@ -441,6 +532,13 @@
     }
 }
 
+/// How long a lease of `lease_ms` on a worker's clock lasts at most.
+pub(super) fn max_lease_duration(lease_ms: u64) -> Duration {
+    let drift_ms =
+        lease_ms.saturating_mul(MAX_CLOCK_DRIFT_PERCENT) / (100 - MAX_CLOCK_DRIFT_PERCENT);
+    Duration::from_millis(lease_ms.saturating_add(drift_ms + LEASE_MARGIN_MS))
+}
+
 /// A duration in whole milliseconds.
 pub(super) fn as_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -5,6 +5,7 @@
 
 mod active;
 pub mod crash;
+pub mod ended;
 mod engine;
 mod fleet;
 mod parts;
@@ -27,4 +28,4 @@
     MAX_TASKS, ParseIdError, Recurrence, SpecError, StepId, StepSpec, TaskId, WorkflowId,
     WorkflowSpec,
 };
-pub use tenure::{Tenure, predecessor_ends_at};
+pub use tenure::{LongLeases, Predecessor, Tenure, predecessor_ends_at};
--- a/src/workflow/policy.rs
+++ b/src/workflow/policy.rs
@@ -69,4 +69,6 @@
 pub struct EngineConfig {
     /// How long the runs on a worker continue without a lease renewal, in milliseconds.
     pub lease_ms: u64,
+    /// The maximum lease that a worker accepts, in milliseconds. It shortens longer ones to this.
+    pub max_lease_ms: u64,
 }
--- a/src/workflow/tenure.rs
+++ b/src/workflow/tenure.rs
@@ -7,11 +7,11 @@
 
 use std::time::Duration;
 
-use crate::model::Time;
+use crate::model::{Time, WorkerName};
 
 /// How long an owner may act after it sent the last write that took effect. It is longer than an
 /// ordinary takeover, so that leases outlast an outage of the store for all VMs.
-const TENURE: Duration = Duration::from_secs(3);
+pub(super) const TENURE: Duration = Duration::from_secs(3);
 
 /// The margin for clocks that run at different rates, in percent; the platform guarantees at most 2.
 const CLOCK_MARGIN_PERCENT: u32 = 5;
@@ -78,6 +78,48 @@
     }
 }
 
+/// The workers on which the leases of an owner may last up to the platform's maximum, because it does
+/// not know which process took them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum LongLeases {
+    /// Any worker: the record of the owner does not tell.
+    #[default]
+    AnyWorker,
+    /// These workers only.
+    Workers(Vec<WorkerName>),
+}
+
+impl LongLeases {
+    /// Whether a lease on the worker may be long.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnutlug::model::WorkerName;
+    /// use chestnutlug::workflow::LongLeases;
+    ///
+    /// let (w1, w2) = (WorkerName::new("w1"), WorkerName::new("w2"));
+    /// let leases = LongLeases::Workers(vec![w1.clone()]);
+    /// assert!(leases.include(&w1) && !leases.include(&w2));
+    /// assert!(LongLeases::AnyWorker.include(&w2));
+    /// ```
+    pub fn include(&self, worker: &WorkerName) -> bool {
+        match self {
+            Self::AnyWorker => true,
+            Self::Workers(workers) => workers.contains(worker),
+        }
+    }
+}
+
+/// What a new owner knows of the leases that earlier owners granted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Predecessor {
+    /// When the tenure of the last owner has ended.
+    pub ends_at: Time,
+    /// Where its leases may be long.
+    pub long_leases: LongLeases,
+}
+
 /// When the tenure of an owner has ended whose record has not changed since `unchanged_since`, by the
 /// clock of the process that observes the record.
 pub fn predecessor_ends_at(unchanged_since: Time) -> Time {
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod crash_world;
 mod crashes;
+mod ended;
 mod gangs;
 mod lifecycle;
 mod load;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -12,8 +12,9 @@
     MAX_RECORD_BYTES, WorkflowProgress, WorkflowRecord, WorkflowState, encoded_len,
 };
 use chestnutlug::workflow::{
-    BatchLimits, CommitBatch, Effect, Engine, EngineConfig, PermitLatency, QueuePolicy, ReplyToken,
-    StepSpec, TaskId, Tenure, WorkerKey, WorkflowId, WorkflowSpec, predecessor_ends_at,
+    BatchLimits, CommitBatch, Effect, Engine, EngineConfig, LongLeases, PermitLatency, Predecessor,
+    QueuePolicy, ReplyToken, StepSpec, TaskId, Tenure, WorkerKey, WorkflowId, WorkflowSpec,
+    predecessor_ends_at,
 };
 
 use crate::crash_world::Crashes;
@@ -135,6 +136,8 @@
     committing: bool,
     /// When the last write that took effect was sent.
     last_write_ms: u64,
+    /// Where leases may be long, as in the last write that took effect.
+    long_leases: LongLeases,
     pub stale: Option<StaleOwner>,
     /// Whether the stale owner acts now.
     stale_acts: bool,
@@ -199,6 +202,7 @@
             epoch: 1,
             committing: false,
             last_write_ms: 1_000,
+            long_leases: LongLeases::Workers(Vec::new()),
             stale: None,
             stale_acts: false,
         };
@@ -266,7 +270,10 @@
             self.engine.restore_workers(part, workers, now);
         }
         self.list_workers();
-        self.engine.begin_recovery(predecessor_ends_at.max(now));
+        self.engine.begin_recovery(&Predecessor {
+            ends_at: predecessor_ends_at.max(now),
+            long_leases: self.long_leases.clone(),
+        });
         for (id, record) in &self.records {
             let parts = self.progress.range((*id, 0)..=(*id, u64::MAX));
             let parts = parts.map(|((_, part), progress)| (*part, progress.clone()));
@@ -331,6 +338,7 @@
         self.run_engine();
         let heartbeat_due = now_ms - self.last_write_ms >= HEARTBEAT_MS;
         if !self.committing && !self.store_fails && heartbeat_due {
+            self.long_leases = self.engine.long_leases(&CommitBatch::default(), self.now());
             self.renew_tenure(now_ms);
         }
         if !self.committing
@@ -340,11 +348,14 @@
             })
         {
             self.committing = true;
+            let long_leases = self.engine.long_leases(&batch, self.now());
             let event = if self.store_fails {
                 ScheduledEvent::NotCommitted(Box::new(batch))
             } else if !self.takes(&batch) {
+                self.long_leases = long_leases;
                 ScheduledEvent::Rejected(Box::new(batch), now_ms)
             } else {
+                self.long_leases = long_leases;
                 ScheduledEvent::Committed(Box::new(batch), now_ms)
             };
             self.scheduled.push((now_ms + self.commit_ms, event));
@@ -646,7 +657,10 @@
 }
 
 fn config() -> EngineConfig {
-    EngineConfig { lease_ms: LEASE_MS }
+    EngineConfig {
+        lease_ms: LEASE_MS,
+        max_lease_ms: LEASE_MS,
+    }
 }
 
 /// When the response arrives, or when the timeout of a lost request expires, with the result.
