Let the simulated cell delay requests, lose answers and restart clocks

The workers of the workflow tests shorten leases to a maximum by the clock of their own process, list 500 ends at a time, and may delay requests and answers, lose answers, and let polls wait. A second run on the worker of the first one is a violation now, as are the start of a task after a commit or an acknowledgement of its end, and an acknowledgement of a done run before its commit.

--- a/tests/workflow/crash_world.rs
+++ b/tests/workflow/crash_world.rs
@@ -102,6 +102,7 @@
         let mut worker = fake_worker(next);
         worker.listing.boot = now_ms;
         worker.listing.capacity = crashed.listing.capacity;
+        worker.max_lease_ms = crashed.max_lease_ms;
         if keeps_name {
             worker.listing.name = name.clone();
             worker.listing.address = crashed.listing.address;
@@ -112,7 +113,7 @@
         self.list_workers();
     }
 
-    fn find(&mut self, name: &WorkerName) -> Option<&mut FakeWorker> {
+    pub fn find(&mut self, name: &WorkerName) -> Option<&mut FakeWorker> {
         let mut workers = self.workers.iter_mut();
         workers.find(|worker| worker.listing.name == *name)
     }
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -7,6 +7,7 @@
 mod gangs;
 mod lifecycle;
 mod load;
+mod network;
 mod odd_worker;
 mod records;
 mod run_ends;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -18,18 +18,22 @@
 };
 
 use crate::crash_world::Crashes;
+use crate::network::{Body, Link, Network};
 
 /// The latency of a message between the engine and a worker.
-const ONE_WAY_LATENCY_MS: u64 = 1;
+pub const ONE_WAY_LATENCY_MS: u64 = 1;
 
 /// The duration of a transaction, unless a test changes it.
 const COMMIT_MS: u64 = 10;
 
 /// The timeout of requests to workers.
-const REQUEST_TIMEOUT_MS: u64 = 800;
+pub const REQUEST_TIMEOUT_MS: u64 = 800;
 
 pub const LEASE_MS: u64 = 5_000;
 
+/// The maximum number of ended runs in a poll response.
+const MAX_ENDED: usize = 500;
+
 /// The maximum size of the records in a transaction.
 const MAX_BATCH_BYTES: usize = 800_000;
 
@@ -70,10 +74,15 @@
     pub is_down: bool,
     /// How runs that start from now on will end.
     pub next_end: RunEnd,
+    /// The longest lease; a longer one is shortened to it.
+    pub max_lease_ms: u64,
+    /// How much slower than ours the worker's clock runs, in percent.
+    pub slow_percent: u64,
+    pub link: Link,
 }
 
 /// An event that is delivered to the engine later.
-enum ScheduledEvent {
+pub enum ScheduledEvent {
     Poll(WorkerKey, u64, Result<PollResponse, ExecutorError>),
     Start(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
     Stop(WorkerKey, TaskId, u32, Result<u64, ExecutorError>),
@@ -89,6 +98,7 @@
 pub struct StaleOwner {
     engine: Engine,
     scheduled: Vec<(u64, ScheduledEvent)>,
+    epoch: u64,
     /// Whether its process is frozen.
     pub frozen: bool,
 }
@@ -130,9 +140,12 @@
     pub completed: BTreeMap<u64, u64>,
     /// Tasks that crash their workers, and what they did.
     pub crashes: Crashes,
-    done: HashSet<TaskId>,
+    /// The tasks that are done according to the committed progress, or to an end that a worker has
+    /// forgotten; later starts of them are violations.
+    pub done: HashSet<TaskId>,
+    pub network: Network,
     scheduled: Vec<(u64, ScheduledEvent)>,
-    epoch: u64,
+    pub epoch: u64,
     committing: bool,
     /// When the last write that took effect was sent.
     last_write_ms: u64,
@@ -198,6 +211,7 @@
             completed: BTreeMap::new(),
             crashes: Crashes::default(),
             done: HashSet::new(),
+            network: Network::default(),
             scheduled: Vec::new(),
             epoch: 1,
             committing: false,
@@ -288,6 +302,7 @@
         let stale = StaleOwner {
             engine: std::mem::replace(&mut self.engine, engine),
             scheduled: std::mem::take(&mut self.scheduled),
+            epoch: self.epoch,
             frozen: false,
         };
         self.take_over(true);
@@ -308,6 +323,10 @@
         let mut worker = fake_worker(u32::try_from(index).unwrap());
         worker.listing.boot = self.now_ms;
         worker.started_ms = self.now_ms;
+        let earlier = &self.workers[index];
+        worker.max_lease_ms = earlier.max_lease_ms;
+        worker.slow_percent = earlier.slow_percent;
+        worker.link = earlier.link.clone();
         self.workers[index] = worker;
     }
 
@@ -334,6 +353,7 @@
         for worker in &mut self.workers {
             worker.end_due_runs(now_ms);
         }
+        self.run_network();
         self.run_stale_owner();
         self.run_engine();
         let heartbeat_due = now_ms - self.last_write_ms >= HEARTBEAT_MS;
@@ -476,6 +496,7 @@
         }
         for (id, part, progress) in &batch.progress {
             self.progress.insert((*id, *part), progress.clone());
+            self.record_done_in(*id, progress);
         }
         for (id, state) in &batch.ended {
             if *state == WorkflowState::Complete {
@@ -501,38 +522,18 @@
                 worker,
                 target,
                 request,
-            } => {
-                let response = self
-                    .worker(&target)
-                    .map(|worker| worker.poll(&target, &request, now_ms));
-                let (at, response) = response_arrival(now_ms, response);
-                self.scheduled
-                    .push((at, ScheduledEvent::Poll(worker, now_ms, response)));
-            }
+            } => self.send(worker, target, Body::Poll(request)),
             Effect::Start {
                 worker,
                 target,
                 request,
-            } => {
-                let (task, run) = (request.task, request.run);
-                let response = self.start(&target, &request);
-                let (at, response) = response_arrival(now_ms, response);
-                self.scheduled
-                    .push((at, ScheduledEvent::Start(worker, task, run, response)));
-            }
+            } => self.send(worker, target, Body::Start(request)),
             Effect::Stop {
                 worker,
                 target,
                 task,
                 run,
-            } => {
-                let response = self
-                    .worker(&target)
-                    .map(|worker| worker.stop(&target, task, run, now_ms));
-                let (at, response) = response_arrival(now_ms, response);
-                self.scheduled
-                    .push((at, ScheduledEvent::Stop(worker, task, run, response)));
-            }
+            } => self.send(worker, target, Body::Stop(task, run)),
             Effect::RequestPermits {
                 step,
                 workers,
@@ -554,7 +555,18 @@
         }
     }
 
-    fn worker(&mut self, target: &WorkerTarget) -> Option<&mut FakeWorker> {
+    /// The events of the owner with this fencing token, unless it is gone.
+    pub fn events_of(&mut self, fencing_token: u64) -> Option<&mut Vec<(u64, ScheduledEvent)>> {
+        if self.stale_acts || fencing_token == self.epoch {
+            return Some(&mut self.scheduled);
+        }
+        let stale = self.stale.as_mut();
+        let stale = stale.filter(|stale| stale.epoch == fencing_token);
+        stale.map(|stale| &mut stale.scheduled)
+    }
+
+    /// The worker, if the acting owner reaches it.
+    pub fn worker(&mut self, target: &WorkerTarget) -> Option<&mut FakeWorker> {
         let found = self.workers.iter_mut();
         let mut found = found.filter(|worker| worker.listing.name == target.name);
         let stale_acts = self.stale_acts;
@@ -568,28 +580,28 @@
     }
 
     /// Passes a start request to its worker and checks the invariants of starts.
-    fn start(
+    pub fn start(
         &mut self,
         target: &WorkerTarget,
         request: &StartRequest,
+        is_done: bool,
     ) -> Option<Result<u64, ExecutorError>> {
         let now_ms = self.now_ms;
         let task = request.task;
         let spec = self.spec_of(task);
         let need = spec.need;
         let task_ms = self.task_ms.unwrap_or(u64::from(spec.estimate_ms));
-        let runs_elsewhere = self
+        let is_running = self
             .workers
             .iter()
-            .any(|worker| worker.listing.name != target.name && worker.runs.contains_key(&task));
-        let is_done = self.done.contains(&task);
-        let worker = self.worker(target)?;
+            .any(|worker| worker.runs.contains_key(&task));
+        let worker = self.find(&target.name)?;
         let response = worker.start(target, request, need, task_ms, now_ms);
         let fits = worker.load().fits_in(&worker.listing.capacity);
         if response.is_ok() {
             self.starts.push((now_ms, task, request.run));
             self.crashes.task_started(task, target, now_ms);
-            if runs_elsewhere {
+            if is_running {
                 self.violations
                     .push(format!("{task} runs twice at {now_ms}"));
             }
@@ -634,24 +646,27 @@
     /// Records which tasks are done according to the committed progress; later starts of them are
     /// violations.
     pub fn record_done_tasks(&mut self) {
-        for (id, record) in &self.records {
-            let WorkflowRecord::Active(spec) = record else {
-                continue;
+        let stored = self.progress.iter();
+        let stored = stored.map(|((id, _), progress)| (*id, progress.clone()));
+        let stored: Vec<(WorkflowId, WorkflowProgress)> = stored.collect();
+        for (id, progress) in stored {
+            self.record_done_in(id, &progress);
+        }
+    }
+
+    fn record_done_in(&mut self, id: WorkflowId, progress: &WorkflowProgress) {
+        let Some(WorkflowRecord::Active(spec)) = self.records.get(&id) else {
+            return;
+        };
+        for ((occurrence, step), step_progress) in &progress.steps {
+            let tasks = 0..spec.steps[*step as usize].tasks;
+            let step = chestnutlug::workflow::StepId {
+                workflow: id,
+                occurrence: *occurrence,
+                step: *step,
             };
-            let parts = self.progress.range((*id, 0)..=(*id, u64::MAX));
-            let steps = parts.flat_map(|(_, progress)| &progress.steps);
-            for ((occurrence, step), step_progress) in steps {
-                for index in 0..spec.steps[*step as usize].tasks {
-                    if step_progress.is_done(index) {
-                        let step = chestnutlug::workflow::StepId {
-                            workflow: *id,
-                            occurrence: *occurrence,
-                            step: *step,
-                        };
-                        self.done.insert(step.task(index));
-                    }
-                }
-            }
+            let done = tasks.filter(|index| step_progress.is_done(*index));
+            self.done.extend(done.map(|index| step.task(index)));
         }
     }
 }
@@ -663,20 +678,6 @@
     }
 }
 
-/// When the response arrives, or when the timeout of a lost request expires, with the result.
-fn response_arrival<T>(
-    now_ms: u64,
-    response: Option<Result<T, ExecutorError>>,
-) -> (u64, Result<T, ExecutorError>) {
-    match response {
-        Some(response) => (now_ms + 2 * ONE_WAY_LATENCY_MS, response),
-        None => {
-            let lost = ExecutorError::NoAnswer("lost".to_owned());
-            (now_ms + REQUEST_TIMEOUT_MS, Err(lost))
-        }
-    }
-}
-
 pub fn fake_worker(index: u32) -> FakeWorker {
     FakeWorker {
         listing: WorkerListing {
@@ -708,12 +709,17 @@
         stop_ms: 0,
         is_down: false,
         next_end: RunEnd::Done,
+        max_lease_ms: LEASE_MS,
+        slow_percent: 0,
+        link: Link::default(),
     }
 }
 
 impl FakeWorker {
     fn clock(&self, now_ms: u64) -> u64 {
-        (now_ms - self.started_ms).saturating_add(self.clock_offset)
+        let elapsed_ms = now_ms - self.started_ms;
+        let lost_ms = elapsed_ms * self.slow_percent / 100;
+        (elapsed_ms - lost_ms).saturating_add(self.clock_offset)
     }
 
     /// The resources used by the active runs.
@@ -789,29 +795,46 @@
         Ok(())
     }
 
-    fn poll(
+    /// Extends the lease up to this time on the worker's clock, at most to the longest lease.
+    fn extend_lease(&mut self, lease_until_ms: u64, now_ms: u64) {
+        let latest_ms = self.clock(now_ms).saturating_add(self.max_lease_ms);
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.min(latest_ms));
+    }
+
+    /// Applies the lease and the acknowledgement of a poll, and returns the ended runs that the worker
+    /// forgets.
+    pub fn accept_poll(
         &mut self,
         target: &WorkerTarget,
         request: &PollRequest,
         now_ms: u64,
-    ) -> Result<PollResponse, ExecutorError> {
+    ) -> Result<Vec<EndedRun>, ExecutorError> {
         self.check_fencing_token(target)?;
-        self.lease_until_ms = self.lease_until_ms.max(request.lease_until_ms.unwrap_or(0));
+        self.extend_lease(request.lease_until_ms.unwrap_or(0), now_ms);
         self.stops_and_acks += u64::from(request.acknowledged > 0);
-        self.ended
-            .retain(|ended| ended.sequence > request.acknowledged);
+        let is_forgotten = |ended: &mut EndedRun| ended.sequence <= request.acknowledged;
+        Ok(self.ended.extract_if(.., is_forgotten).collect())
+    }
+
+    /// The response to a poll.
+    pub fn list_runs(&self, now_ms: u64) -> PollResponse {
         let running = self.runs.iter().map(|(task, run)| ActiveRun {
             task: Some(*task),
             run: run.run,
             checkpoint: None,
             progress_percent: 0,
         });
-        Ok(PollResponse {
+        PollResponse {
             boot: self.listing.boot,
             clock_ms: self.clock(now_ms),
             running: running.collect(),
-            ended: self.ended.clone(),
-        })
+            ended: self.ended.iter().take(MAX_ENDED).cloned().collect(),
+        }
+    }
+
+    /// The number of runs that have ended on the worker process.
+    pub fn last_sequence(&self) -> u64 {
+        self.last_sequence
     }
 
     fn start(
@@ -831,7 +854,7 @@
             return Err(ExecutorError::Rejected(Rejection::Outdated));
         }
         self.highest_runs.insert(request.task, request.run);
-        self.lease_until_ms = self.lease_until_ms.max(request.lease_until_ms);
+        self.extend_lease(request.lease_until_ms, now_ms);
         let run = Run {
             run: request.run,
             ends_at: Some(now_ms + task_ms),
@@ -842,7 +865,7 @@
         Ok(self.clock(now_ms))
     }
 
-    fn stop(
+    pub fn stop(
         &mut self,
         target: &WorkerTarget,
         task: TaskId,
