Test that no task runs twice because its run counts as ended too early

Failing on, by test and case: - no_task_runs_twice_after_its_start_reached_a_restarted_process: all six cases with the owner that sent the start, four of six after a takeover (not those whose clock hardly differs): runs twice. - a_list_from_before_the_arrival_of_a_start_does_not_end_its_run: all eight: runs twice. - an_adopted_run_keeps_the_lease_of_the_earlier_owner: the process is unconfirmed, the tenure has ended: runs twice. The other two cases pass there. - a_done_task_that_a_full_list_does_not_name_does_not_start_again: all but that without a takeover or a restart: 700 starts of 600 tasks. - an_acknowledgement_to_an_earlier_process_loses_no_end: the clock hardly differs, the poll arrives late, both with the end done: the end is forgotten before its commit, and the task runs again.

--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -12,5 +12,6 @@
 mod records;
 mod run_ends;
 mod takeover;
+mod unseen_runs;
 mod waiting;
 mod world;
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -832,6 +832,11 @@
         }
     }
 
+    /// The highest fencing token that the worker process has seen.
+    pub fn fencing_token(&self) -> u64 {
+        self.fencing_token
+    }
+
     /// The number of runs that have ended on the worker process.
     pub fn last_sequence(&self) -> u64 {
         self.last_sequence
