--- a/tests/workflow/unseen_runs.rs
+++ b/tests/workflow/unseen_runs.rs
@@ -6,18 +6,14 @@
 use chestnutlug::workflow::StepSpec;
 
 use crate::network::LOST_MS;
-use crate::world::{World, fake_worker, step};
+use crate::world::{World, step};
 
 /// The longest lease of the workers, twice as long as that which owners grant.
 const MAX_LEASE_MS: u64 = 10_000;
 
-/// A cell whose workers shorten leases to [`MAX_LEASE_MS`].
-fn long_lease_world(workers: u32, task_ms: u64) -> World {
-    let mut world = World::new(workers, false);
+fn world(workers: u32, task_ms: u64) -> World {
+    let mut world = World::with_max_lease(workers, false, MAX_LEASE_MS);
     world.task_ms = Some(task_ms);
-    for worker in &mut world.workers {
-        worker.max_lease_ms = MAX_LEASE_MS;
-    }
     world.run_for(100);
     world
 }
@@ -31,13 +27,6 @@
     }
 }
 
-fn add_worker(world: &mut World) {
-    let mut worker = fake_worker(u32::try_from(world.workers.len()).unwrap());
-    worker.max_lease_ms = MAX_LEASE_MS;
-    world.workers.push(worker);
-    world.list_workers();
-}
-
 fn running(world: &World) -> usize {
     let running = world.workers.iter().map(|worker| worker.running());
     running.sum()
@@ -95,7 +84,7 @@
                 ..*case
             };
             let name = format!("{}, takeover: {takes_over}", case.name);
-            let mut world = long_lease_world(2, 60_000);
+            let mut world = world(2, 60_000);
             for index in 0..2 {
                 world.restart_worker(index);
             }
@@ -167,7 +156,7 @@
     for age_ms in [900, 8_000] {
         for case in &cases {
             let name = format!("{}, age of the earlier process: {age_ms} ms", case.name);
-            let mut world = long_lease_world(1, 15_000);
+            let mut world = world(1, 15_000);
             world.restart_worker(0);
             // The run makes the owner poll the worker.
             world.submit(1, vec![step(1, 500)]);
@@ -185,7 +174,8 @@
             run_until(&mut world, |world| {
                 world.workers[0].link.starts_ms.is_empty()
             });
-            add_worker(&mut world);
+            world.add_worker(1);
+            world.list_workers();
             world.workers[0].link.polls_wait = false;
             world.run_for(300);
             world.workers[0].link.start_answer_ms = 0;
@@ -240,7 +230,7 @@
     let mut failures = Vec::new();
     for case in cases {
         let name = case.name;
-        let mut world = long_lease_world(2, 60_000);
+        let mut world = world(2, 60_000);
         world.submit(1, vec![step(1, 500)]);
         run_until(&mut world, |world| running(world) == 1);
         world.run_for(1_000);
@@ -310,7 +300,7 @@
     let mut failures = Vec::new();
     for case in cases {
         let name = case.name;
-        let mut world = long_lease_world(1, 60_000);
+        let mut world = world(1, 60_000);
         world.max_entries = 800;
         if case.restarts {
             world.run_for(5_000);
@@ -382,7 +372,7 @@
     for case in cases {
         for end in [RunEnd::Done, RunEnd::Failed] {
             let name = format!("{}, {end:?}", case.name);
-            let mut world = long_lease_world(1, 50);
+            let mut world = world(1, 50);
             world.restart_worker(0);
             world.submit(1, vec![step(3, 500)]);
             world.run_for(case.age_ms);
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -108,6 +108,8 @@
     pub engine: Engine,
     pub now_ms: u64,
     pub workers: Vec<FakeWorker>,
+    /// The longest lease of workers.
+    max_lease_ms: u64,
     pub records: BTreeMap<WorkflowId, WorkflowRecord>,
     /// The parts of the progress of workflows.
     pub progress: BTreeMap<(WorkflowId, u64), WorkflowProgress>,
@@ -186,11 +188,21 @@
 
 impl World {
     pub fn new(workers: u32, permits: bool) -> Self {
+        Self::with_max_lease(workers, permits, LEASE_MS)
+    }
+
+    /// A cell whose workers shorten leases to `max_lease_ms`.
+    pub fn with_max_lease(workers: u32, permits: bool, max_lease_ms: u64) -> Self {
         let queue = queue(permits);
         let mut world = Self {
-            engine: Engine::new(config(), 1, Tenure::begin(Time::from_millis(1_000))),
+            engine: Engine::new(
+                config(max_lease_ms),
+                1,
+                Tenure::begin(Time::from_millis(1_000)),
+            ),
             now_ms: 1_000,
-            workers: (0..workers).map(fake_worker).collect(),
+            workers: Vec::new(),
+            max_lease_ms,
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
             stored_workers: BTreeMap::new(),
@@ -221,10 +233,20 @@
             stale_acts: false,
         };
         world.engine.set_queues(vec![world.queue.clone()]);
+        for index in 0..workers {
+            world.add_worker(index);
+        }
         world.list_workers();
         world
     }
 
+    /// Adds a worker, which the platform does not list yet.
+    pub fn add_worker(&mut self, index: u32) {
+        let mut worker = fake_worker(index);
+        worker.max_lease_ms = self.max_lease_ms;
+        self.workers.push(worker);
+    }
+
     pub fn now(&self) -> Time {
         Time::from_millis(self.now_ms)
     }
@@ -274,7 +296,7 @@
         self.committing = false;
         self.scheduled.clear();
         let now = self.now();
-        self.engine = Engine::new(config(), self.epoch, Tenure::begin(now));
+        self.engine = Engine::new(config(self.max_lease_ms), self.epoch, Tenure::begin(now));
         let predecessor_ends_at = predecessor_ends_at(Time::from_millis(self.last_write_ms));
         self.last_write_ms = self.now_ms;
         if queues_known {
@@ -298,7 +320,11 @@
 
     /// Replaces the engine, and lets the previous owner go on without the store.
     pub fn take_over_beside_stale_owner(&mut self) {
-        let engine = Engine::new(config(), self.epoch, Tenure::begin(Time::default()));
+        let engine = Engine::new(
+            config(self.max_lease_ms),
+            self.epoch,
+            Tenure::begin(Time::default()),
+        );
         let stale = StaleOwner {
             engine: std::mem::replace(&mut self.engine, engine),
             scheduled: std::mem::take(&mut self.scheduled),
@@ -671,10 +697,10 @@
     }
 }
 
-fn config() -> EngineConfig {
+fn config(max_lease_ms: u64) -> EngineConfig {
     EngineConfig {
         lease_ms: LEASE_MS,
-        max_lease_ms: LEASE_MS,
+        max_lease_ms,
     }
 }
 
