--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod crash_world;
 mod crashes;
 mod ended;
+mod exploration;
 mod gangs;
 mod lifecycle;
 mod load;
