--- a/tests/workflow/network.rs
+++ b/tests/workflow/network.rs
@@ -132,6 +132,17 @@
         }
     }
 
+    /// Delivers the start requests that are on their way to the worker.
+    pub fn deliver_starts(&mut self, index: usize) {
+        let name = self.workers[index].listing.name.clone();
+        for (at, request) in &mut self.network.in_transit {
+            if request.target.name == name && matches!(request.body, Body::Start(_)) {
+                *at = self.now_ms;
+            }
+        }
+        self.run_network();
+    }
+
     fn arrive(&mut self, request: Request) {
         let now_ms = self.now_ms;
         let target = request.target.clone();
