Wait until a stopped start can no longer arrive at the next process

A stopped run whose start no response has confirmed now counts as ended only once its start can no longer be on its way.

Tried and reverted: a new owner that takes a worker as recovered only once the starts of the earlier owner have arrived; an_incomplete_gang_is_stopped_and_restarted_after_a_takeover failed with it, since the gang waits until its members are done.

--- a/src/workflow/ended.rs
+++ b/src/workflow/ended.rs
@@ -9,9 +9,13 @@
 //! up to the platform's maximum.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::model::Time;
 
+/// How long a request takes to reach its worker at most, unless the worker delays it.
+pub const MAX_DELIVERY: Duration = Duration::from_secs(1);
+
 /// The state of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -41,6 +45,8 @@
     /// The worker process that has the run, if a response has shown which one. The run may otherwise
     /// be on the process that it was sent to, on a later one, or on none.
     pub process: Option<u64>,
+    /// When the start request was sent.
+    pub sent_at: Time,
 }
 
 /// A list of runs by a worker process, which does not name the run in question as active or ended.
@@ -102,7 +108,7 @@
 /// use chestnutlug::workflow::ended::{Ended, KnownRun, RunList, RunState};
 ///
 /// let at = Time::from_millis;
-/// let run = KnownRun { state: RunState::Running(at(200)), process: Some(1) };
+/// let run = KnownRun { state: RunState::Running(at(200)), process: Some(1), sent_at: at(150) };
 /// let list = RunList { process: 1, polled_at: at(100), is_complete: true };
 /// assert!(Ended::by_list(&run, &list).is_none(), "the poll may have reached the worker first");
 /// let list = RunList { polled_at: at(300), ..list };
@@ -112,6 +118,11 @@
 #[must_use]
 pub struct Ended(Evidence);
 
+/// Whether a request that was sent at `sent_at` has arrived by `now`, if it ever does.
+fn is_delivered(sent_at: Time, now: Time) -> bool {
+    now.since(sent_at) >= MAX_DELIVERY
+}
+
 impl Ended {
     /// What shows that the run has ended.
     pub fn evidence(self) -> Evidence {
@@ -142,8 +153,11 @@
             RunState::Assigned => return Some(Self(Evidence::NotSent)),
             RunState::Starting | RunState::OutcomeUnknown(_) => false,
             RunState::Running(since) => since < list.polled_at,
+            // The next process would not know of the stop request.
             RunState::Stopping { response_at, .. } => {
-                response_at.is_some_and(|at| at < list.polled_at)
+                let has_arrived =
+                    run.process.is_some() || is_delivered(run.sent_at, list.polled_at);
+                has_arrived && response_at.is_some_and(|at| at < list.polled_at)
             }
         };
         (can_no_longer_start && list.is_complete).then_some(Self(Evidence::Absent))
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -8,7 +8,7 @@
 use slotmap::new_key_type;
 
 use super::crash::{LostRun, PROBATION};
-use super::ended::{Ended, KnownRun, LeaseEnds, RunList, RunState};
+use super::ended::{Ended, KnownRun, LeaseEnds, MAX_DELIVERY, RunList, RunState};
 use super::policy::URGENT_PRIORITY;
 use super::spec::{TaskId, WorkflowId};
 use super::urgent_reserve::RESERVED_PERCENT;
@@ -44,9 +44,6 @@
 /// the granularity of both clocks.
 const CLOCK_TOLERANCE_MS: u64 = 1_000;
 
-/// How long a request takes to reach its worker at most, unless the worker delays it.
-pub(super) const MAX_DELIVERY: Duration = Duration::from_secs(1);
-
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ClockReading {
@@ -76,6 +73,7 @@
         KnownRun {
             state: self.state,
             process: self.process,
+            sent_at: self.started_at,
         }
     }
 
--- a/tests/workflow/ended.rs
+++ b/tests/workflow/ended.rs
@@ -80,6 +80,26 @@
             list,
             Some(Absent),
         ),
+        case(
+            "stopped, and the start may still arrive at the next process",
+            stopping(Some(at(900))),
+            None,
+            RunList {
+                polled_at: at(999),
+                ..list
+            },
+            None,
+        ),
+        case(
+            "stopped, and the start has arrived",
+            stopping(Some(at(900))),
+            Some(2),
+            RunList {
+                polled_at: at(999),
+                ..list
+            },
+            Some(Absent),
+        ),
         case(
             "stopped after the poll was sent",
             stopping(Some(at(1_000))),
@@ -92,6 +112,7 @@
         let run = KnownRun {
             state: case.state,
             process: case.process,
+            sent_at: at(0),
         };
         let ended = Ended::by_list(&run, &case.list).map(Ended::evidence);
         assert_eq!(ended, case.evidence, "{}", case.name);
@@ -147,6 +168,7 @@
         let run = KnownRun {
             state: case.state,
             process: case.process,
+            sent_at: at(0),
         };
         let ended = Ended::by_silence(&run, &leases, at(case.now_ms)).map(Ended::evidence);
         assert_eq!(ended, case.evidence, "{}", case.name);
