--- a/tests/workflow/network.rs
+++ b/tests/workflow/network.rs
@@ -63,6 +63,12 @@
 }
 
 impl Network {
+    /// Whether a poll is on its way to a worker.
+    pub fn has_poll_in_transit(&self) -> bool {
+        let mut requests = self.in_transit.iter().map(|(_, request)| request);
+        requests.any(|request| matches!(request.body, Body::Poll(_)))
+    }
+
     /// Whether a poll waits on a worker.
     pub fn has_waiting_poll(&self) -> bool {
         !self.waiting.is_empty()
--- a/tests/workflow/unseen_runs.rs
+++ b/tests/workflow/unseen_runs.rs
@@ -462,3 +462,35 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// An acknowledgement is overtaken by a start, both of which reach a restarted process.
+#[test]
+fn an_acknowledgement_that_a_start_overtakes_loses_no_end() {
+    let mut failures = Vec::new();
+    for age_ms in [0, 5_000] {
+        let name = format!("age of the earlier process: {age_ms} ms more");
+        let mut world = world(1, 50);
+        world.restart_worker(0);
+        world.run_for(age_ms);
+        world.submit(1, vec![step(3, 500)]);
+        run_until(&mut world, |world| world.completed.contains_key(&1));
+        assert_eq!(
+            world.workers[0].orders().1,
+            0,
+            "{name}: acknowledged already"
+        );
+        world.workers[0].link.poll_ms = 400;
+        run_until(&mut world, |world| world.network.has_poll_in_transit());
+        world.restart_worker_unnoticed(0);
+        world.submit(2, vec![step(1, 500)]);
+        world.run_for(1_000);
+        world.workers[0].link.poll_ms = 0;
+        world.run_for(5_000);
+        assert_unbroken(&world, &name, &mut failures);
+        let starts = world.starts.len();
+        if starts != 4 {
+            failures.push(format!("{name}: {starts} starts of 4 tasks"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
