Count a workflow as started once a worker has begun a run

Cause: the owner marked a workflow as started when it sent the first start request and never took that back.

A workflow now counts as started once a worker confirms a start request of it, or lists a run of it as active or ended. While the outcome of its first start is unknown, it counts as pending.

tests/workflow/pending.rs: the first test failed before the change at the first case (0 pending, `running`, with connections refused); the second, with lost responses, passed before and passes now.

--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -192,6 +192,8 @@
     /// Whether the workflow is also in an inbox: another VM has accepted and stored it, so that it
     /// must not be refused.
     pub(super) from_inbox: bool,
+    /// Whether a worker has begun a run of the workflow. A start request that was only sent may
+    /// have begun none.
     pub(super) started: bool,
     pub(super) cancelled: bool,
     pub(super) failed: bool,
--- a/src/workflow/engine/completion.rs
+++ b/src/workflow/engine/completion.rs
@@ -25,6 +25,7 @@
             );
             return;
         };
+        self.mark_started(task.step.workflow);
         let reserved = self.release_run(worker, task, ended.run);
         self.update_worker_stats(worker, ended.end, reserved, now);
         tracing::info!(
@@ -126,7 +127,6 @@
         let Some(spec) = active.spec.steps.get(task.step.step as usize).cloned() else {
             return;
         };
-        active.started = true;
         let key = (task.step.occurrence, task.step.step);
         let Some(state) = active.steps.get_mut(&key) else {
             return;
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -305,6 +305,13 @@
         u32::try_from(last_of_earlier_owners + 1).unwrap_or(u32::MAX)
     }
 
+    /// Marks a workflow as started, because a worker has confirmed or listed a run of it.
+    fn mark_started(&mut self, id: WorkflowId) {
+        if let Some(active) = self.active.get_mut(&id) {
+            active.started = true;
+        }
+    }
+
     /// Marks the progress of a task as changed.
     fn mark_progress(&mut self, step: StepId, index: u32) {
         if let Some(active) = self.active.get(&step.workflow) {
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -234,6 +234,7 @@
                 continue;
             };
             listed.insert((task, active_run.run));
+            self.mark_started(task.step.workflow);
             if !self.confirm_run(key, task, active_run, now)
                 && !self.adopt_run(key, task, active_run, now)
             {
@@ -316,7 +317,6 @@
         task_state.unverified = None;
         task_state.checkpoint.clone_from(&active_run.checkpoint);
         state.last_run = state.last_run.max(active_run.run);
-        active.started = true;
         let reserved = ReservedRun {
             run: active_run.run,
             reserved: spec.reserved(),
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -99,7 +99,7 @@
     fn start_run(&mut self, key: WorkerKey, task: TaskId, run: u32, now: Time) -> bool {
         let lease_ms = self.cfg.lease_ms;
         let needs_permit = self.needs_permit(task.step);
-        let Some(active) = self.active.get_mut(&task.step.workflow) else {
+        let Some(active) = self.active.get(&task.step.workflow) else {
             return false;
         };
         let state = active.steps.get(&(task.step.occurrence, task.step.step));
@@ -130,7 +130,6 @@
             checkpoint: task_state.checkpoint.clone(),
             permit,
         };
-        active.started = true;
         if let Some(reserved) = worker.runs.get_mut(&task) {
             reserved.state = RunState::Starting;
             reserved.started_at = now;
@@ -223,6 +222,9 @@
         response: Result<u64, ExecutorError>,
         now: Time,
     ) {
+        if response.is_ok() {
+            self.mark_started(task.step.workflow);
+        }
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod network;
 mod odd_worker;
+mod pending;
 mod records;
 mod run_ends;
 mod takeover;
