Resolve runs that a full list leaves out, and learn the process of idle workers

Each process is now polled once more after 2 s.

Also from the review: a stop that an earlier process answered, or one that may have, does not count for the next process, and only ends that the last list still names are acknowledged.

--- a/src/workflow/ended.rs
+++ b/src/workflow/ended.rs
@@ -49,6 +49,23 @@
     pub sent_at: Time,
 }
 
+impl KnownRun {
+    /// Whether the run began before the process that sent `list` responded, or never will. It is then on
+    /// no later process.
+    pub fn can_no_longer_start(&self, list: &RunList) -> bool {
+        match self.state {
+            RunState::Assigned | RunState::Starting | RunState::OutcomeUnknown(_) => false,
+            RunState::Running(since) => since < list.polled_at,
+            // The next process would not know of the stop request.
+            RunState::Stopping { response_at, .. } => {
+                let has_arrived =
+                    self.process.is_some() || is_delivered(self.sent_at, list.polled_at);
+                has_arrived && response_at.is_some_and(|at| at < list.polled_at)
+            }
+        }
+    }
+}
+
 /// A list of runs by a worker process, which does not name the run in question as active or ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunList {
@@ -149,18 +166,10 @@
         if run.process.is_some_and(|process| process < list.process) {
             return Some(Self(Evidence::ProcessReplaced));
         }
-        let can_no_longer_start = match run.state {
-            RunState::Assigned => return Some(Self(Evidence::NotSent)),
-            RunState::Starting | RunState::OutcomeUnknown(_) => false,
-            RunState::Running(since) => since < list.polled_at,
-            // The next process would not know of the stop request.
-            RunState::Stopping { response_at, .. } => {
-                let has_arrived =
-                    run.process.is_some() || is_delivered(run.sent_at, list.polled_at);
-                has_arrived && response_at.is_some_and(|at| at < list.polled_at)
-            }
-        };
-        (can_no_longer_start && list.is_complete).then_some(Self(Evidence::Absent))
+        if run.state == RunState::Assigned {
+            return Some(Self(Evidence::NotSent));
+        }
+        (run.can_no_longer_start(list) && list.is_complete).then_some(Self(Evidence::Absent))
     }
 
     /// Decides whether a run has ended that an earlier owner placed on `placed_on`, and that a worker
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -102,12 +102,12 @@
         self.schedule_poll(key, now + UNCONFIRMED_POLL_INTERVAL);
     }
 
-    /// Schedules a poll of the worker unless one is scheduled or in flight.
+    /// Schedules a poll of the worker unless one is in flight.
     pub(super) fn ensure_poll_scheduled(&mut self, key: WorkerKey, now: Time) {
         let Some(worker) = self.fleet.get(key) else {
             return;
         };
-        if worker.next_poll.is_none() && !worker.poll_in_flight {
+        if !worker.poll_in_flight {
             let interval = poll_interval(worker);
             self.schedule_poll(key, now + interval);
         }
@@ -174,13 +174,14 @@
             self.schedule_poll(key, now + FAILED_POLL_INTERVAL);
             return;
         }
-        if response.boot > worker.listing.boot {
+        if response.boot != worker.listing.boot {
             self.worker_restarted(key, sent_at, response, now);
         }
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
         worker.process_confirmed = true;
+        worker.first_listed_end = response.ended.first().map(|ended| ended.sequence);
         worker.update_clock(response.clock_ms, now);
         // The response names its process, which confirms the process unless an indication of
         // another one is newer than the poll.
@@ -387,11 +388,22 @@
                 ) if now.since(sent_at) >= STOP_RETRY_INTERVAL => {
                     self.resend_stop(key, task, reserved.run, now);
                 }
+                (_, None) if reserved.known().can_no_longer_start(list) => {
+                    // Its end is in the rest of the list.
+                    self.set_process(key, task, list.process);
+                }
                 (_, None) => {}
             }
         }
     }
 
+    fn set_process(&mut self, key: WorkerKey, task: TaskId, process: u64) {
+        let worker = self.fleet.get_mut(key);
+        if let Some(reserved) = worker.and_then(|worker| worker.runs.get_mut(&task)) {
+            reserved.process = Some(process);
+        }
+    }
+
     fn resend_stop(&mut self, key: WorkerKey, task: TaskId, run: u32, now: Time) {
         if let Some(worker) = self.fleet.get_mut(key)
             && let Some(reserved) = worker.runs.get_mut(&task)
@@ -409,10 +421,12 @@
             return;
         };
         let has_unacknowledged = worker.processed_sequence > worker.committed_sequence;
-
+        let identified_at = worker.identifiable_at();
         if !worker.runs.is_empty() || worker.unknown_runs > 0 || has_unacknowledged {
             let interval = poll_interval(worker);
             self.schedule_poll(key, now + interval);
+        } else if let Some(at) = identified_at {
+            self.schedule_poll(key, at);
         }
     }
 }
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -356,9 +356,12 @@
             Ok(clock_ms) => {
                 worker.check_clock(clock_ms, now);
                 worker.record_response(now);
+                // Another process may have responded than that which has the run.
+                let is_in_doubt = worker.process_unconfirmed_since.is_some();
                 if let Some(reserved) = worker.runs.get_mut(&task)
                     && reserved.run == run
                     && let RunState::Stopping { response_at, .. } = &mut reserved.state
+                    && !is_in_doubt
                 {
                     response_at.get_or_insert(now);
                 }
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -78,7 +78,7 @@
     }
 
     /// Whether the run may be on another process than the known one.
-    fn is_unconfirmed(&self) -> bool {
+    fn is_on_unknown_process(&self) -> bool {
         self.process.is_none() && self.state != RunState::Assigned
     }
 }
@@ -112,6 +112,8 @@
     pub(super) processed_sequence: u64,
     /// The sequence number up to which the effects of all ended runs are committed.
     pub(super) committed_sequence: u64,
+    /// The first ended run in the last poll response.
+    pub(super) first_listed_end: Option<u64>,
     /// Whether a poll response has named the worker process in `listing`. Until then, its start time is
     /// only what the platform's list says.
     pub(super) process_confirmed: bool,
@@ -161,6 +163,7 @@
             unknown_runs: 0,
             processed_sequence: 0,
             committed_sequence: 0,
+            first_listed_end: None,
             process_confirmed: false,
             process_unconfirmed_since: None,
             poll_in_flight: false,
@@ -192,6 +195,12 @@
         now: Time,
     ) -> Vec<(LostRun, Ended)> {
         let boot = self.listing.boot;
+        // The new process has not seen the stop requests.
+        for reserved in self.runs.values_mut() {
+            if let RunState::Stopping { response_at, .. } = &mut reserved.state {
+                *response_at = None;
+            }
+        }
         let lost = self.take_lost_runs(|task, reserved| {
             let is_named = is_named(task, reserved.run);
             (!is_named).then(|| Ended::by_list(&reserved.known(), list))?
@@ -202,10 +211,6 @@
             if reserved.suspected_of.is_none() && self.lasted(&reserved) < PROBATION {
                 reserved.suspected_of = Some(boot);
             }
-            if let RunState::Stopping { response_at, .. } = &mut reserved.state {
-                // The new process has not seen the stop request.
-                *response_at = None;
-            }
             next.reserve(task, reserved);
         }
         next.part = self.part;
@@ -340,31 +345,46 @@
             return false;
         }
         self.update_clock(worker_ms, now);
-        // The clock of a later process is behind by the time for which this one is known to have run.
-        let known_for = self.first_response.map(|at| self.last_poll.since(at));
-        let min = Duration::from_millis(2 * CLOCK_TOLERANCE_MS);
-        self.process_unconfirmed_since.is_none() && known_for.is_some_and(|known| known > min)
+        self.process_unconfirmed_since.is_none()
+            && self.first_response.is_some()
+            && self.identifiable_at().is_none()
+    }
+
+    /// When a poll is due from which on the clock identifies the process; `None` if one has been answered.
+    /// The clock of a later process is behind by the time for which this one is known to have run.
+    pub(super) fn identifiable_at(&self) -> Option<Time> {
+        let at = self.first_response? + Duration::from_millis(2 * CLOCK_TOLERANCE_MS);
+        (self.last_poll < at).then_some(at)
     }
 
     /// The sequence number up to which the worker may forget its ended runs. It is 0 unless the
     /// committed runs certainly ended in the current worker process: a start request may have reached
     /// another one.
     pub(super) fn acknowledged_sequence(&self) -> u64 {
-        if self.process_unconfirmed_since.is_some() || self.has_unconfirmed_run() {
+        if self.process_unconfirmed_since.is_some() || self.has_run_on_unknown_process() {
             return 0;
         }
-        self.committed_sequence
+        // The process has forgotten the ends that it no longer lists; a later one may have listed none
+        // of its own yet.
+        let is_listed = self
+            .first_listed_end
+            .is_some_and(|first| first <= self.committed_sequence);
+        if is_listed {
+            self.committed_sequence
+        } else {
+            0
+        }
     }
 
     /// Whether a run may be on another process than the known one.
-    fn has_unconfirmed_run(&self) -> bool {
-        self.runs.values().any(ReservedRun::is_unconfirmed)
+    fn has_run_on_unknown_process(&self) -> bool {
+        self.runs.values().any(ReservedRun::is_on_unknown_process)
     }
 
     /// Whether a run on the worker may have a lease after `at`, because it may have been granted to a
     /// process whose clock was not known.
     pub(super) fn may_have_lease_after(&self, at: Time) -> bool {
-        self.has_unconfirmed_run() || self.lease_expires_at > at
+        self.has_run_on_unknown_process() || self.lease_expires_at > at
     }
 
     /// Records that an earlier owner may have granted leases until `granted_until`, which expire at
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -14,6 +14,7 @@
 mod records;
 mod run_ends;
 mod takeover;
+mod unresolved_runs;
 mod unseen_runs;
 mod waiting;
 mod world;
