Accept a worker process whose start time is earlier than its predecessor's

A poll that was sent after a response of the known process cannot be answered by an earlier one, whatever the start times say.

a_process_that_seems_older_than_its_predecessor_loses_no_task failed in four of four cases and passes.

--- a/src/workflow/ended.rs
+++ b/src/workflow/ended.rs
@@ -161,9 +161,10 @@
         Self(Evidence::NotSent)
     }
 
-    /// Decides whether a run has ended that a worker does not list.
+    /// Decides whether a run has ended that a worker does not list. The process that responded is the
+    /// known one or a later one.
     pub fn by_list(run: &KnownRun, list: &RunList) -> Option<Self> {
-        if run.process.is_some_and(|process| process < list.process) {
+        if run.process.is_some_and(|process| process != list.process) {
             return Some(Self(Evidence::ProcessReplaced));
         }
         if run.state == RunState::Assigned {
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -170,7 +170,10 @@
         let Some(worker) = self.fleet.get_mut(key) else {
             return;
         };
-        if response.boot < worker.listing.boot {
+        // The start time of a process may be earlier than that of its predecessor, if the wall clock was
+        // set back; but no predecessor answers a poll that was sent after a response of the process.
+        let is_of_predecessor = !worker.process_confirmed || sent_at <= worker.last_response();
+        if response.boot < worker.listing.boot && is_of_predecessor {
             self.schedule_poll(key, now + FAILED_POLL_INTERVAL);
             return;
         }
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -453,6 +453,11 @@
         self.failed_requests > 0
     }
 
+    /// When the last response arrived.
+    pub(super) fn last_response(&self) -> Time {
+        self.last_response
+    }
+
     /// Resets the count of failed requests after a response.
     pub(super) fn record_response(&mut self, now: Time) {
         self.failed_requests = 0;
--- a/tests/workflow/unresolved_runs.rs
+++ b/tests/workflow/unresolved_runs.rs
@@ -177,6 +177,43 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// The wall clock of a machine is set back, and its worker restarts: the start time that identifies the
+/// process is earlier than that of its predecessor.
+#[test]
+fn a_process_that_seems_older_than_its_predecessor_loses_no_task() {
+    let mut failures = Vec::new();
+    for task_ms in [400, 60_000] {
+        for age_ms in [500, 8_000] {
+            let mut world = world(2, 60_000);
+            for index in 0..2 {
+                world.restart_worker(index);
+            }
+            world.run_for(age_ms);
+            world.submit(1, vec![step(2, 500)]);
+            world.run_for(100);
+            for index in 0..2 {
+                world.restart_worker_unnoticed(index);
+                world.workers[index].listing.boot = 2;
+            }
+            world.task_ms = Some(task_ms);
+            world.run_for(30_000);
+            world.list_workers();
+            world.run_for(30_000);
+            let is_over = world.state(1) == Some(WorkflowState::Complete);
+            if !world.violations.is_empty() || (running(&world) != 2 && !is_over) {
+                failures.push(format!(
+                    "age {age_ms} ms, tasks of {task_ms} ms: {:?}, {} runs at work, {} starts, {:?}",
+                    world.state(1),
+                    running(&world),
+                    world.starts.len(),
+                    world.violations
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// The worker of a task that lasts crashes soon after the start; another one is idle.
 #[test]
 fn a_task_that_lasts_soon_runs_again_after_the_crash_of_its_worker() {
