Add a profile of the soak that replaces owners while workers restart

Today's faults seldom meet that order: tasks last at most 0.6 s, leases 6 s, and no fault looks for the owner.

`--profile owners` plays series: the shard's owner by the store's record is cut from the store, frozen for 2 to 8 s, killed or stopped, and so is its successor, also while it recovers. Workers restart under their name between two calls, with or without their connections, and are cut off soon after; workers are out of reach of later owners and in reach of the present one (by the fencing token of the request, since VMs share their source address); requests are delayed. Tasks last up to 14 s, workers grant 10 s. The faults of a series are drawn before it begins. `--program PATH` runs another build. Failed runs keep the observed events beside the logs.

In this profile an end whose worker's lease expired before the acknowledgement does not count as acknowledged: the rule TWICE excludes it, and cut-off workers meet it often. The mixed profile stays as strict as it was; its draws and defaults are unchanged.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use crate::checker::{InvariantChecker, Step};
+use crate::profile::Profile;
 
 const CALLER_COUNT: u64 = 10;
 
@@ -46,6 +47,7 @@
         caller_addresses: Vec<SocketAddr>,
         checker: Arc<InvariantChecker>,
         seed: u64,
+        profile: Profile,
     ) -> Self {
         let clients = caller_addresses
             .into_iter()
@@ -56,7 +58,9 @@
         for index in 0..CALLER_COUNT {
             let rng = StdRng::seed_from_u64(seed * CALLER_COUNT + index);
             let (clients, checker, stop) = (clients.clone(), checker.clone(), stop.clone());
-            tasks.spawn(async move { run_caller(&clients, &checker, &stop, index, rng).await });
+            tasks.spawn(async move {
+                run_caller(&clients, &checker, &stop, index, rng, profile).await;
+            });
         }
         Self {
             clients,
@@ -123,23 +127,36 @@
     }
 }
 
+/// A step of short tasks or, with [`Profile::Owners`], now and then of tasks that last longer than a lease.
+fn draw_step(rng: &mut StdRng, profile: Profile) -> Step {
+    if profile == Profile::Owners && rng.random_bool(0.12) {
+        return Step {
+            tasks: rng.random_range(1..=2),
+            cpu_milli: rng.random_range(5..=10) * 100,
+            run_ms: rng.random_range(4_000..=14_000),
+        };
+    }
+    Step {
+        tasks: rng.random_range(1..=4),
+        cpu_milli: rng.random_range(5..=25) * 100,
+        run_ms: rng.random_range(50..=600),
+    }
+}
+
 async fn run_caller(
     clients: &[HttpClient],
     checker: &InvariantChecker,
     stop: &AtomicBool,
     index: u64,
     mut rng: StdRng,
+    profile: Profile,
 ) {
     let mut submitted = 0_u64;
     while !stop.load(Ordering::Relaxed) {
         submitted += 1;
         let id = format!("{index:04x}{submitted:012x}");
         let steps: Vec<Step> = (0..rng.random_range(1..=2))
-            .map(|_| Step {
-                tasks: rng.random_range(1..=4),
-                cpu_milli: rng.random_range(5..=25) * 100,
-                run_ms: rng.random_range(50..=600),
-            })
+            .map(|_| draw_step(&mut rng, profile))
             .collect();
         let accepted = submit(clients, checker, &id, &steps, &mut rng).await;
         if accepted && rng.random_bool(0.1) {
--- a/tests/soak/cell.rs
+++ b/tests/soak/cell.rs
@@ -3,7 +3,7 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,16 +15,14 @@
 use serde_json::json;
 
 use crate::checker::InvariantChecker;
+use crate::profile::Profile;
 use crate::relay::Relay;
 use crate::store::Store;
-use crate::worker::{MAX_LEASE_MS, Worker};
+use crate::worker::Worker;
 
 /// The timeout for the VMs to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The interval at which workers write their listing to the store.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-
 pub struct Vm {
     name: String,
     caller_address: SocketAddr,
@@ -41,6 +39,8 @@
     /// The relays from the VMs to each worker.
     pub worker_relays: Vec<Arc<Relay>>,
     pub store: Arc<Store>,
+    checker: Arc<InvariantChecker>,
+    program: PathBuf,
     config_version: u64,
     dir: tempfile::TempDir,
 }
@@ -56,7 +56,13 @@
 }
 
 impl Cell {
-    pub async fn start(vms: usize, workers: usize, checker: Arc<InvariantChecker>) -> Self {
+    pub async fn start(
+        vms: usize,
+        workers: usize,
+        checker: Arc<InvariantChecker>,
+        profile: Profile,
+        program: &Path,
+    ) -> Self {
         let store = Store::start().await;
         let dir = tempfile::tempdir().unwrap();
         let mut cell = Self {
@@ -64,15 +70,22 @@
             workers: Vec::new(),
             worker_relays: Vec::new(),
             store,
+            checker: checker.clone(),
+            program: program.to_owned(),
             config_version: 0,
             dir,
         };
         for index in 0..workers {
             // The relay is started first, because the worker's listing contains its address.
             let relay = Relay::to(cell.store.address).await;
-            let worker = Worker::start(index, relay.address, checker.clone()).await;
+            let worker = Worker::start(index, relay.address, checker.clone(), profile).await;
             relay.set_target(worker.address);
-            tokio::spawn(write_heartbeats(cell.store.clone(), worker.clone()));
+            let interval = profile.heartbeat_interval();
+            tokio::spawn(write_heartbeats(
+                cell.store.clone(),
+                worker.clone(),
+                interval,
+            ));
             cell.workers.push(worker);
             cell.worker_relays.push(Arc::new(relay));
         }
@@ -91,12 +104,13 @@
             let text = format!(
                 "vm = \"{name}\"\nzone = \"a\"\ncallers = \"{caller_address}\"\nreadiness = \"{readiness}\"\n\
                  peers = \"{peers}\"\nmetrics = \"{metrics}\"\nseeds = [{}]\nstore = \"{}\"\n\
-                 lease_max_ms = {MAX_LEASE_MS}\ngrace_s = 4\n",
+                 lease_max_ms = {}\ngrace_s = 4\n",
                 seeds.join(", "),
                 relay.address,
+                profile.max_lease_ms(),
             );
             std::fs::write(&settings_path, text).unwrap();
-            let child = spawn(&name, &settings_path, &cell.dir);
+            let child = spawn(&cell.program, &name, &settings_path, &cell.dir);
             cell.vms.push(Vm {
                 name,
                 caller_address,
@@ -165,13 +179,26 @@
         let vm = &mut self.vms[index];
         let _ = vm.child.kill();
         vm.child.wait().unwrap();
-        vm.child = spawn(&vm.name, &vm.settings_path, &self.dir);
+        vm.child = spawn(&self.program, &vm.name, &vm.settings_path, &self.dir);
+    }
+
+    /// The index of the VM that owns the shard, and its epoch, by the store.
+    pub fn owner(&self) -> Option<(usize, u64)> {
+        let (name, epoch) = self.store.owner()?;
+        let vm = self.vms.iter().position(|vm| vm.name == name)?;
+        Some((vm, epoch))
+    }
+
+    pub fn log_event(&self, event: &str) {
+        self.checker.log_event(event);
     }
 
-    /// Kills all processes, and keeps their logs if `keep_logs` is set.
+    /// Kills all processes, and keeps their logs and the observed events if `keep_logs` is set.
     pub fn stop(self, keep_logs: bool) {
         drop(self.vms);
         if keep_logs {
+            let events = self.checker.events().join("\n");
+            std::fs::write(self.dir.path().join("events.log"), events).unwrap();
             println!("logs: {}", self.dir.keep().display());
         }
     }
@@ -185,14 +212,14 @@
     }
 }
 
-fn spawn(name: &str, settings_path: &PathBuf, dir: &tempfile::TempDir) -> Child {
+fn spawn(program: &Path, name: &str, settings_path: &Path, dir: &tempfile::TempDir) -> Child {
     let path = dir.path().join(format!("{name}.log"));
     let log = File::options()
         .create(true)
         .append(true)
         .open(path)
         .unwrap();
-    Command::new(env!("CARGO_BIN_EXE_chestnutlug"))
+    Command::new(program)
         .arg("coordinate")
         .arg("--settings")
         .arg(settings_path)
@@ -204,9 +231,9 @@
 }
 
 /// Writes the listing of a worker to the store at each heartbeat.
-async fn write_heartbeats(store: Arc<Store>, worker: Arc<Worker>) {
+async fn write_heartbeats(store: Arc<Store>, worker: Arc<Worker>, interval: Duration) {
     loop {
         store.put("servers", &worker.name, &worker.listing());
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
 }
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// How long after the acknowledgement of a cancellation tasks may still start: the platform's bound for
 /// cancellations.
@@ -59,6 +59,8 @@
     running: HashMap<String, usize>,
     starts: u64,
     findings: Vec<String>,
+    /// What the workers, the VMs and their links did, with the time of day.
+    events: Vec<String>,
     started_at: Option<Instant>,
 }
 
@@ -100,7 +102,17 @@
 }
 
 impl Observations {
+    fn log_event(&mut self, event: &str) {
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let ms = since_epoch.unwrap_or_default().as_millis();
+        let (s, ms) = (ms / 1_000, ms % 1_000);
+        let (hour, minute, second) = (s / 3_600 % 24, s / 60 % 60, s % 60);
+        self.events
+            .push(format!("{hour:02}:{minute:02}:{second:02}.{ms:03} {event}"));
+    }
+
     fn add_finding(&mut self, finding: String) {
+        self.log_event(&format!("FINDING {finding}"));
         let at = self.started_at.get_or_insert_with(Instant::now).elapsed();
         self.findings
             .push(format!("at {} ms: {finding}", at.as_millis()));
@@ -112,6 +124,16 @@
         self.observed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records an event for the log of the run.
+    pub fn log_event(&self, event: &str) {
+        self.lock().log_event(event);
+    }
+
+    /// The events so far, the earliest first.
+    pub fn events(&self) -> Vec<String> {
+        self.lock().events.clone()
+    }
+
     pub fn findings(&self) -> Vec<String> {
         self.lock().findings.clone()
     }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -16,7 +16,7 @@
 
 /// A fault that lasts until [`end`], with the index of the VM or worker.
 #[derive(Clone, Copy, Debug)]
-enum ActiveFault {
+pub enum ActiveFault {
     VmKilled(usize),
     VmFrozen(usize),
     VmStopping(usize),
@@ -128,7 +128,8 @@
     }
 }
 
-fn end(cell: &mut Cell, fault: ActiveFault) {
+/// Ends a fault.
+pub fn end(cell: &mut Cell, fault: ActiveFault) {
     match fault {
         ActiveFault::VmKilled(vm) | ActiveFault::VmStopping(vm) => cell.restart(vm),
         ActiveFault::VmFrozen(vm) => cell.signal(vm, Signal::SIGCONT),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,18 +1,22 @@
 //! Randomized soak test: runs the built program in separate processes on loopback, injects faults from
 //! outside and checks the guarantees to callers while it runs.
 //!
-//! `cargo test --release --test soak -- --seed N --seconds S`. Without arguments it runs
-//! [`DEFAULT_SEEDS`], as CI does.
+//! `cargo test --release --test soak -- --seed N --seconds S --profile P`. Without arguments it runs
+//! [`DEFAULT_SEEDS`], as CI does. `--program PATH` runs another build, for comparisons.
 
 mod caller;
 mod cell;
 mod checker;
 mod fault;
+mod front;
+mod owners;
+mod profile;
 #[path = "../process/relay.rs"]
 mod relay;
 mod store;
 mod worker;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +29,7 @@
 use crate::caller::Callers;
 use crate::cell::Cell;
 use crate::checker::InvariantChecker;
+use crate::profile::Profile;
 
 /// The seeds that run without arguments: seed 1, and each seed that has failed, with the cause.
 const DEFAULT_SEEDS: [u64; 4] = [
@@ -40,13 +45,6 @@
     13,
 ];
 
-/// How long faults are injected by default, in seconds.
-const DEFAULT_SECONDS: u64 = 8;
-
-/// How long accepted workflows may take to end after the last fault: another VM has to take over from
-/// a failed owner, the leases of unresponsive workers have to expire, and waiting tasks have to run.
-const END_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// The delay after the last fault until its consequences are over. The leases of unresponsive workers
 /// last up to 6 s.
 const RECOVERY_DELAY: Duration = Duration::from_secs(7);
@@ -59,6 +57,16 @@
     let number = value_parser!(u64);
     let cmd = Command::new("soak")
         .arg(Arg::new("seed").long("seed").value_parser(number))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("profile")
+                .long("profile")
+                .value_parser(Profile::NAMES),
+        )
         .arg(Arg::new("seconds").long("seconds").value_parser(number))
         .arg(
             Arg::new("vms")
@@ -84,7 +92,13 @@
         }
         return ExitCode::SUCCESS;
     }
-    let seconds = args.get_one("seconds").copied().unwrap_or(DEFAULT_SECONDS);
+    let profile = args.get_one::<String>("profile");
+    let profile = profile.and_then(|name| Profile::by_name(name));
+    let profile = profile.unwrap_or(Profile::Mixed);
+    let seconds = args.get_one("seconds").copied();
+    let seconds = seconds.unwrap_or(profile.default_seconds());
+    let program = args.get_one::<PathBuf>("program").cloned();
+    let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_chestnutlug").into());
     let vms = args.get_one("vms").copied().unwrap_or(5);
     let workers = args.get_one("workers").copied().unwrap_or(8);
     let seeds = match args.get_one::<u64>("seed") {
@@ -94,7 +108,14 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let mut failed = false;
     for seed in seeds {
-        let findings = runtime.block_on(soak(seed, Duration::from_secs(seconds), vms, workers));
+        let findings = runtime.block_on(soak(
+            seed,
+            Duration::from_secs(seconds),
+            vms,
+            workers,
+            profile,
+            &program,
+        ));
         for finding in &findings {
             println!("seed {seed}: {finding}");
         }
@@ -120,16 +141,28 @@
 }
 
 /// Runs one seed and returns the violations of guarantees that were found.
-async fn soak(seed: u64, duration: Duration, vms: usize, workers: usize) -> Vec<String> {
+async fn soak(
+    seed: u64,
+    duration: Duration,
+    vms: usize,
+    workers: usize,
+    profile: Profile,
+    program: &Path,
+) -> Vec<String> {
     let checker = Arc::new(InvariantChecker::default());
-    let mut cell = Cell::start(vms, workers, checker.clone()).await;
-    let callers = Callers::start(cell.caller_addresses(), checker.clone(), seed);
+    let mut cell = Cell::start(vms, workers, checker.clone(), profile, program).await;
+    let callers = Callers::start(cell.caller_addresses(), checker.clone(), seed, profile);
     let mut rng = StdRng::seed_from_u64(seed);
-    let faults = fault::inject_faults(&mut cell, &mut rng, duration).await;
-    tokio::time::sleep(RECOVERY_DELAY).await;
-    stop_each_vm(&mut cell, &callers, &checker).await;
+    let faults = match profile {
+        Profile::Mixed => fault::inject_faults(&mut cell, &mut rng, duration).await,
+        Profile::Owners => owners::inject_faults(&mut cell, &mut rng, duration).await,
+    };
+    if profile == Profile::Mixed {
+        tokio::time::sleep(RECOVERY_DELAY).await;
+        stop_each_vm(&mut cell, &callers, &checker).await;
+    }
     callers.stop().await;
-    let settled = callers.await_all_ended(END_TIMEOUT).await;
+    let settled = callers.await_all_ended(profile.end_timeout()).await;
     let counts = checker.counts();
     println!(
         "seed {seed}: {faults} faults; {counts}; settled after {} ms",
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -110,6 +110,18 @@
         self.version.send_replace(rows.version);
     }
 
+    /// The VM and the epoch in the owner record of the first shard.
+    pub fn owner(&self) -> Option<(String, u64)> {
+        let key = ("owners".to_owned(), "shard-0".to_owned(), "main".to_owned());
+        let rows = self.lock();
+        let (value, _) = rows.rows.get(&key)?;
+        let bytes = BASE64_STANDARD.decode(value).ok()?;
+        // The format of records, the VM, its address, when its process started, and the epoch.
+        type Start = (u8, String, SocketAddr, u64, u64);
+        let (record, _) = postcard::take_from_bytes::<Start>(&bytes).ok()?;
+        Some((record.1, record.4))
+    }
+
     async fn handle(
         self: Arc<Self>,
         req: Request<Incoming>,
--- a/tests/soak/worker.rs
+++ b/tests/soak/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -16,16 +16,22 @@
 use tokio::sync::Notify;
 
 use crate::checker::{InvariantChecker, TaskSpec};
+use crate::front::Front;
+use crate::profile::Profile;
 
 /// The cores of a worker, in thousandths.
 pub const CAPACITY_CPU_MILLI: u32 = 8_000;
 
-/// The maximum lease, in milliseconds.
-pub const MAX_LEASE_MS: u64 = 6_000;
-
 /// The interval between two checks for runs that end.
 const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// How long a restart waits for a moment without a call in progress: longer than a poll may wait.
+const MAX_CALL_WAIT: Duration = Duration::from_millis(2_500);
+
+/// How long a request from an owner that does not reach the worker is held before its connection closes:
+/// longer than the timeout of any request.
+const UNREACHABLE_DELAY: Duration = Duration::from_secs(4);
+
 /// The delay before a delayed request takes effect.
 const REQUEST_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -40,6 +46,9 @@
     task: String,
     run: u64,
     end: &'static str,
+    /// Whether the worker's lease has expired since. By the rules, such an end does not count as
+    /// acknowledged, since the owner may have had to start the task again.
+    has_lapsed: bool,
 }
 
 /// The state of a worker process, which a restart discards.
@@ -75,6 +84,15 @@
         1_000 + u64::try_from(self.started_at.elapsed().as_millis()).unwrap() * 98 / 100
     }
 
+    /// Marks the ended runs if the lease has expired.
+    fn mark_lapsed(&mut self) {
+        if self.clock_ms() >= self.lease_until_ms {
+            for ended in &mut self.ended_runs {
+                ended.has_lapsed = true;
+            }
+        }
+    }
+
     fn end_run(&mut self, task: &str, end: &'static str) {
         let Some(run) = self.runs.remove(task) else {
             return;
@@ -87,10 +105,27 @@
             task: task.to_owned(),
             run: run.number,
             end,
+            has_lapsed: false,
         });
     }
 }
 
+/// Counts a call while it is in progress.
+struct CallInProgress<'a>(&'a AtomicUsize);
+
+impl<'a> CallInProgress<'a> {
+    fn begin(calls: &'a AtomicUsize) -> Self {
+        calls.fetch_add(1, Ordering::Relaxed);
+        Self(calls)
+    }
+}
+
+impl Drop for CallInProgress<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 pub struct Worker {
     index: usize,
     pub name: String,
@@ -100,6 +135,11 @@
     state: Mutex<ProcessState>,
     run_ended: Notify,
     checker: Arc<InvariantChecker>,
+    profile: Profile,
+    front: Arc<Front>,
+    calls_in_progress: AtomicUsize,
+    /// The lowest fencing token of the owners that do not reach the worker.
+    unreachable_from: AtomicU64,
     /// Whether every other start and stop request is delayed and gets no response.
     pub delay_requests: AtomicBool,
     delay_next: AtomicBool,
@@ -110,16 +150,27 @@
         index: usize,
         listed_address: SocketAddr,
         checker: Arc<InvariantChecker>,
+        profile: Profile,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server_address = listener.local_addr().unwrap();
+        let front = Front::to(server_address).await;
+        let address = match profile {
+            Profile::Mixed => server_address,
+            Profile::Owners => front.address,
+        };
         let worker = Arc::new(Self {
             index,
             name: format!("worker-{index}"),
-            address: listener.local_addr().unwrap(),
+            address,
             listed_address,
             state: Mutex::new(ProcessState::new()),
             run_ended: Notify::new(),
             checker,
+            profile,
+            front,
+            calls_in_progress: AtomicUsize::new(0),
+            unreachable_from: AtomicU64::new(u64::MAX),
             delay_requests: AtomicBool::new(false),
             delay_next: AtomicBool::new(false),
         });
@@ -152,6 +203,36 @@
     pub fn restart(&self) {
         *self.lock() = ProcessState::new();
         self.checker.record_restart(self.index);
+        self.log_event("restarted");
+    }
+
+    /// Restarts the worker with the same name while no call is in progress, so that no call fails.
+    pub async fn restart_between_calls(&self, closes_connections: bool) {
+        let started_at = Instant::now();
+        while self.calls_in_progress.load(Ordering::Relaxed) > 0
+            && started_at.elapsed() < MAX_CALL_WAIT
+        {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let calls = self.calls_in_progress.load(Ordering::Relaxed);
+        self.log_event(&format!("restarts with {calls} calls in progress"));
+        self.restart();
+        if closes_connections {
+            self.front.close_connections();
+        }
+    }
+
+    /// Puts the worker out of reach of the owners with this or a higher fencing token; none with
+    /// `u64::MAX`.
+    pub fn set_unreachable_from(&self, fencing_token: u64) {
+        self.log_event(&format!("out of reach of owners from {fencing_token} on"));
+        self.unreachable_from
+            .store(fencing_token, Ordering::Relaxed);
+    }
+
+    pub fn log_event(&self, event: &str) {
+        let name = &self.name;
+        self.checker.log_event(&format!("{name}: {event}"));
     }
 
     /// Ends the runs that are done, and all runs once the lease has expired.
@@ -167,10 +248,13 @@
             });
             let ending: Vec<(String, &str)> = ending.collect();
             for (task, end) in ending {
+                let number = state.runs.get(&task).map_or(0, |run| run.number);
+                self.log_event(&format!("end {task} run {number} {end}"));
                 state.end_run(&task, end);
                 self.checker.record_end(self.index, &task, end == "done");
                 self.run_ended.notify_waiters();
             }
+            state.mark_lapsed();
         }
     }
 
@@ -188,6 +272,12 @@
         if is_misdirected {
             return Ok(response(StatusCode::MISDIRECTED_REQUEST, &json!({})));
         }
+        let fencing_token = body["Fence"].as_u64().unwrap_or(0);
+        if fencing_token >= self.unreachable_from.load(Ordering::Relaxed) {
+            tokio::time::sleep(UNREACHABLE_DELAY).await;
+            return Err(ResponseDropped);
+        }
+        let _in_progress = CallInProgress::begin(&self.calls_in_progress);
         let is_run_request = path != "/chestnutlug/hold";
         if is_run_request
             && self.delay_requests.load(Ordering::Relaxed)
@@ -200,7 +290,7 @@
         if is_run_request {
             return Ok(self.handle_run_request(&path, &body));
         }
-        Ok(self.handle_poll(&body).await)
+        self.handle_poll(&body).await
     }
 
     fn reject(&self, state: &ProcessState, reason: &str) -> Response<ResponseBody> {
@@ -220,7 +310,7 @@
         state.fencing_token = fencing_token;
         if path == "/chestnutlug/run-start" {
             let lease_until_ms = body["DeadlineMs"].as_u64().unwrap_or(0);
-            let max_lease_until_ms = state.clock_ms() + MAX_LEASE_MS;
+            let max_lease_until_ms = state.clock_ms() + self.profile.max_lease_ms();
             state.lease_until_ms = state
                 .lease_until_ms
                 .max(lease_until_ms.min(max_lease_until_ms));
@@ -253,6 +343,13 @@
                      {used_cpu_milli} of {CAPACITY_CPU_MILLI} are in use"
                 ));
             }
+            self.log_event(&format!(
+                "start {task} run {run} token {fencing_token} for {} ms; clock {}, lease in the request until \
+                 {lease_until_ms}, of the worker until {}",
+                spec.run_ms,
+                state.clock_ms(),
+                state.lease_until_ms
+            ));
             self.checker.record_start(self.index, task, run);
             let new = Run {
                 number: run,
@@ -266,6 +363,7 @@
                 .get(task)
                 .is_some_and(|active| active.number <= run)
             {
+                self.log_event(&format!("stop {task} run {run} token {fencing_token}"));
                 state.end_run(task, "stopped");
                 self.checker.record_end(self.index, task, false);
                 self.run_ended.notify_waiters();
@@ -279,19 +377,20 @@
         )
     }
 
-    async fn handle_poll(&self, body: &Value) -> Response<ResponseBody> {
+    async fn handle_poll(&self, body: &Value) -> Result<Response<ResponseBody>, ResponseDropped> {
         let run_ended = self.run_ended.notified();
         tokio::pin!(run_ended);
         run_ended.as_mut().enable();
-        let none_ended = {
+        let (boot, none_ended) = {
             let mut state = self.lock();
+            state.mark_lapsed();
             let fencing_token = body["Fence"].as_u64().unwrap_or(0);
             if fencing_token < state.fencing_token {
-                return self.reject(&state, "fence");
+                return Ok(self.reject(&state, "fence"));
             }
             state.fencing_token = fencing_token;
             if let Some(lease_until_ms) = body["DeadlineMs"].as_u64() {
-                let max_lease_until_ms = state.clock_ms() + MAX_LEASE_MS;
+                let max_lease_until_ms = state.clock_ms() + self.profile.max_lease_ms();
                 state.lease_until_ms = state
                     .lease_until_ms
                     .max(lease_until_ms.min(max_lease_until_ms));
@@ -300,19 +399,23 @@
             let newly_acknowledged = state
                 .ended_runs
                 .iter()
-                .filter(|ended| ended.sequence <= acknowledged && ended.end == "done");
+                .filter(|ended| ended.sequence <= acknowledged && ended.end == "done")
+                .filter(|ended| self.profile == Profile::Mixed || !ended.has_lapsed);
             for ended in newly_acknowledged {
                 self.checker.record_acknowledgement(self.index, &ended.task);
             }
             state
                 .ended_runs
                 .retain(|ended| ended.sequence > acknowledged);
-            state.ended_runs.is_empty()
+            (state.boot, state.ended_runs.is_empty())
         };
         if let Some(ms) = body["WaitMs"].as_u64().filter(|_| none_ended) {
             let _ = tokio::time::timeout(Duration::from_millis(ms), run_ended).await;
         }
         let state = self.lock();
+        if self.profile == Profile::Owners && state.boot != boot {
+            return Err(ResponseDropped);
+        }
         let running = state
             .runs
             .iter()
@@ -324,7 +427,7 @@
             "ClockMs": state.clock_ms(), "born": state.boot,
             "Running": running.collect::<Vec<_>>(), "Ended": ended_runs.collect::<Vec<_>>(),
         });
-        response(StatusCode::OK, &body)
+        Ok(response(StatusCode::OK, &body))
     }
 }
 
