Cut owners from the store for longer than a takeover in the soak

The successor waits for its predecessor's leases; a cut of 8 s at most ended before or soon after that, so that the replaced owner seldom acted beside its successor.

--- a/tests/soak/owners.rs
+++ b/tests/soak/owners.rs
@@ -93,9 +93,9 @@
     };
     let duration = match fault {
         OwnerFault::Killed | OwnerFault::Stopping => millis(rng, 100..4_000),
-        OwnerFault::Frozen | OwnerFault::StoreLink(..) | OwnerFault::StoreLinkThenFrozen => {
-            millis(rng, 2_000..8_000)
-        }
+        OwnerFault::Frozen | OwnerFault::StoreLinkThenFrozen => millis(rng, 2_000..8_000),
+        // Longer than a takeover and the wait for the predecessor's leases after it.
+        OwnerFault::StoreLink(..) => millis(rng, 2_000..14_000),
     };
     (fault, duration)
 }
@@ -120,6 +120,7 @@
     };
     let duration = match fault {
         WorkerFault::DelayedRequests => millis(rng, 500..3_000),
+        WorkerFault::Apart { .. } => millis(rng, 6_000..16_000),
         _ => millis(rng, 3_000..12_000),
     };
     (fault, duration)
