--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -133,9 +133,11 @@
     match fault {
         ActiveFault::VmKilled(vm) | ActiveFault::VmStopping(vm) => cell.restart(vm),
         ActiveFault::VmFrozen(vm) => cell.signal(vm, Signal::SIGCONT),
-        ActiveFault::StoreLink(vm) => cell.vms[vm]
-            .store_relay
-            .set_link_state(LinkState::Open, LinkState::Open),
+        ActiveFault::StoreLink(vm) => {
+            let relay = &cell.vms[vm].store_relay;
+            relay.set_link_state(LinkState::Open, LinkState::Open);
+            cell.store.silence_owner(None);
+        }
         ActiveFault::WorkerLink(worker) => {
             cell.worker_relays[worker].set_link_state(LinkState::Open, LinkState::Open)
         }
--- a/tests/soak/owners.rs
+++ b/tests/soak/owners.rs
@@ -258,11 +258,14 @@
         OwnerFault::StoreLink(upstream, downstream) => {
             let relay = &cell.vms[vm].store_relay;
             relay.set_link_state(upstream, downstream);
+            // An owner without a link to the store writes through other VMs.
+            cell.store.silence_owner(Some(epoch));
             ActiveFault::StoreLink(vm)
         }
         OwnerFault::StoreLinkThenFrozen => {
             let relay = &cell.vms[vm].store_relay;
             relay.set_link_state(LinkState::Dropping, LinkState::Dropping);
+            cell.store.silence_owner(Some(epoch));
             active.push((until, ActiveFault::StoreLink(vm)));
             pass(cell, active, Duration::from_millis(600)).await;
             cell.signal(vm, Signal::SIGSTOP);
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -25,6 +25,9 @@
 /// The delay after which a transaction takes effect in [`Mode::LossyLate`], if its response is lost.
 const LATE_COMMIT_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How long a transaction of a silenced owner is held: longer than the timeout of any call.
+const SILENCE: Duration = Duration::from_secs(3);
+
 /// The maximum number of changes that are kept for feeds.
 const MAX_HISTORY: usize = 5_000;
 
@@ -60,6 +63,8 @@
     pub address: SocketAddr,
     rows: Mutex<Rows>,
     mode: Mutex<Mode>,
+    /// The epoch of the owner whose transactions are lost, whichever VM relays them.
+    silenced_epoch: Mutex<Option<u64>>,
     version: watch::Sender<u64>,
     started_at: Instant,
 }
@@ -71,6 +76,7 @@
             address: listener.local_addr().unwrap(),
             rows: Mutex::default(),
             mode: Mutex::new(Mode::Up),
+            silenced_epoch: Mutex::default(),
             version: watch::Sender::new(0),
             started_at: Instant::now(),
         });
@@ -89,6 +95,30 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Loses all transactions of the owner of this epoch from now on.
+    pub fn silence_owner(&self, epoch: Option<u64>) {
+        *self.lock_silenced() = epoch;
+    }
+
+    fn lock_silenced(&self) -> MutexGuard<'_, Option<u64>> {
+        self.silenced_epoch
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the transaction writes the owner record of the silenced epoch.
+    fn is_silenced(&self, body: &Value) -> bool {
+        let Some(epoch) = *self.lock_silenced() else {
+            return false;
+        };
+        let puts = body["Puts"].as_array().into_iter().flatten();
+        let mut owners = puts.filter(|row| row["Table"] == "owners");
+        owners.any(|row| {
+            let owner = row["Value"].as_str().and_then(decode_owner);
+            owner.is_some_and(|(_, at)| at == epoch)
+        })
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
@@ -115,11 +145,7 @@
         let key = ("owners".to_owned(), "shard-0".to_owned(), "main".to_owned());
         let rows = self.lock();
         let (value, _) = rows.rows.get(&key)?;
-        let bytes = BASE64_STANDARD.decode(value).ok()?;
-        // The format of records, the VM, its address, when its process started, and the epoch.
-        type Start = (u8, String, SocketAddr, u64, u64);
-        let (record, _) = postcard::take_from_bytes::<Start>(&bytes).ok()?;
-        Some((record.1, record.4))
+        decode_owner(value)
     }
 
     async fn handle(
@@ -142,6 +168,10 @@
         match path.as_str() {
             "/chestnutlug/rows-tx" => {
                 let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+                if self.is_silenced(&body) {
+                    tokio::time::sleep(SILENCE).await;
+                    return Err(ResponseDropped);
+                }
                 let loses_response = {
                     let mut rows = self.lock();
                     rows.transactions += 1;
@@ -282,6 +312,15 @@
     }
 }
 
+/// The VM and the epoch in an owner record.
+fn decode_owner(value: &str) -> Option<(String, u64)> {
+    // The format of records, the VM, its address, when its process started, and the epoch.
+    type Start = (u8, String, SocketAddr, u64, u64);
+    let bytes = BASE64_STANDARD.decode(value).ok()?;
+    let (record, _) = postcard::take_from_bytes::<Start>(&bytes).ok()?;
+    Some((record.1, record.4))
+}
+
 fn row_key(row: &Value) -> RowKey {
     let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
     (text("Table"), text("part"), text("Key"))
