--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -16,7 +16,7 @@
 
 /// A fault that lasts until [`end`], with the index of the VM or worker.
 #[derive(Clone, Copy, Debug)]
-enum ActiveFault {
+pub enum ActiveFault {
     VmKilled(usize),
     VmFrozen(usize),
     VmStopping(usize),
@@ -128,13 +128,16 @@
     }
 }
 
-fn end(cell: &mut Cell, fault: ActiveFault) {
+/// Ends a fault.
+pub fn end(cell: &mut Cell, fault: ActiveFault) {
     match fault {
         ActiveFault::VmKilled(vm) | ActiveFault::VmStopping(vm) => cell.restart(vm),
         ActiveFault::VmFrozen(vm) => cell.signal(vm, Signal::SIGCONT),
-        ActiveFault::StoreLink(vm) => cell.vms[vm]
-            .store_relay
-            .set_link_state(LinkState::Open, LinkState::Open),
+        ActiveFault::StoreLink(vm) => {
+            let relay = &cell.vms[vm].store_relay;
+            relay.set_link_state(LinkState::Open, LinkState::Open);
+            cell.store.silence_owner(None);
+        }
         ActiveFault::WorkerLink(worker) => {
             cell.worker_relays[worker].set_link_state(LinkState::Open, LinkState::Open)
         }
