Exchange workers between shards

Cause: which workers and workflows belong to a shard was fixed by hashes at the first start, and a step is placed on its own shard's workers or not at all.

Change: an owner with steps that wait asks the others for workers, the longest wait first; a gang first learns which of them are eligible. An owner gives idle workers that none of its own older steps could use, and keeps half of its home workers. Only the holder of a worker can assign it, with a proof that it is vacant, and records that before the receiver records it, so that two shards never hold one. The receiver's fencing tokens are higher than all earlier ones. Messages are repeated until confirmed.

Evidence: with all messages between shards lost, which is the behaviour before, 6 of 8 workflows of shards_in_need and the one with a label do not complete; with the change all do. exchange_faults plays late, lost and repeated messages, owners replaced beside stale ones, workers that restart and leave, and a store that fails: no worker is held twice, no task runs twice, all accepted work completes.

--- a/src/coordinator/elector.rs
+++ b/src/coordinator/elector.rs
@@ -19,7 +19,7 @@
 use super::shards::{ShardId, ShardMap};
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
-use crate::model::{Time, VmName, WorkerName};
+use crate::model::{Time, VmName};
 use crate::port::feeds::{FeedUpdate, WorkerChange};
 use crate::port::record_store::StoreError;
 use crate::workflow::{
@@ -348,15 +348,18 @@
         let epoch = writer.owner.epoch;
         let mut engine = Engine::new(self.cfg, epoch, tenure);
         engine.set_queues(self.queues.borrow().clone());
+        let shards = u16::try_from(self.map.shards().count()).unwrap_or(u16::MAX);
+        engine.join_shards(self.shard, shards);
+        for (worker, assignment) in snapshot.assignments {
+            engine.load_assignment(worker, assignment);
+        }
         for (part, workers) in snapshot.workers {
             engine.restore_workers(part, workers, now);
         }
         for change in listed.items {
-            match change {
-                WorkerChange::Listed(listing) if self.has_worker(&listing.name) => {
-                    engine.set_worker(listing, now);
-                }
-                WorkerChange::Listed(_) | WorkerChange::Unlisted(_) => {}
+            if let WorkerChange::Listed(listing) = change {
+                let home = self.map.of_worker(&listing.name);
+                engine.list_worker(listing, home, now);
             }
         }
         if epoch > 1 {
@@ -388,8 +391,6 @@
         tasks.spawn(WorkflowOwner::run_ticks(owner.clone()));
         tasks.spawn(feeder::forward_worker_changes(
             self.ports.clone(),
-            self.shard,
-            self.map,
             owner.clone(),
             listed.version,
         ));
@@ -504,11 +505,6 @@
         }
     }
 
-    /// Whether the worker belongs to the shard.
-    fn has_worker(&self, worker: &WorkerName) -> bool {
-        self.map.of_worker(worker) == self.shard
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<ActorRef<WorkflowOwner>>> {
         self.owner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/coordinator/event.rs
+++ b/src/coordinator/event.rs
@@ -7,10 +7,12 @@
 use super::fenced_writer::{FencedWriter, WriteError, WriteOutcome};
 use super::message::WorkflowReply;
 use super::reader::InboxRecord;
+use super::shards::ShardId;
 use crate::model::{QueueName, Time, WorkerName};
 use crate::port::executor::{ExecutorError, PermitError, Permits, PollResponse};
 use crate::port::feeds::{FeedUpdate, WorkerChange};
 use crate::port::record_store::RecordKey;
+use crate::workflow::exchange::ExchangeMessage;
 use crate::workflow::{
     CommitBatch, QueuePolicy, StepId, TaskId, WorkerKey, WorkflowId, WorkflowSpec,
 };
@@ -54,6 +56,8 @@
     InboxEntries(Vec<InboxRecord>, oneshot::Sender<Vec<RecordKey>>),
     /// A configuration was applied.
     Queues(Vec<QueuePolicy>),
+    /// A message from the owner of another shard.
+    Exchange(ShardId, ExchangeMessage),
     /// The tick interval passed.
     Tick,
     /// The process is stopping: release the shard and send on the channel when that is done.
--- a/src/coordinator/feeder.rs
+++ b/src/coordinator/feeder.rs
@@ -9,7 +9,7 @@
 use super::fenced_writer::MAX_BATCH_ENTRIES;
 use super::owner::{WorkflowOwner, WorkflowOwnerPorts};
 use super::reader::{self, CALL_TIMEOUT, InboxRecord};
-use super::shards::{ShardId, ShardMap};
+use super::shards::ShardId;
 use crate::port::record_store::{RecordKey, StoreCall, StoreError, Transaction};
 use crate::workflow::QueuePolicy;
 
@@ -52,11 +52,9 @@
     }
 }
 
-/// Forwards changes of the workers of the owner's shard.
+/// Forwards changes of the list of workers.
 pub(super) async fn forward_worker_changes(
     ports: WorkflowOwnerPorts,
-    shard: ShardId,
-    map: ShardMap,
     owner: ActorRef<WorkflowOwner>,
     version: u64,
 ) {
@@ -68,10 +66,7 @@
             version = None;
         }
         match ports.feeds.workers(version, WORKERS_WAIT).await {
-            Ok(mut update) => {
-                update
-                    .items
-                    .retain(|change| map.of_worker(change.worker()) == shard);
+            Ok(update) => {
                 version = Some(update.version);
                 if update.is_snapshot {
                     snapshot_at = ports.clock.now();
--- a/src/coordinator/fenced_writer.rs
+++ b/src/coordinator/fenced_writer.rs
@@ -299,6 +299,10 @@
                 put(&mut transaction, key, workers)?;
             }
         }
+        for (worker, assignment) in &batch.assignments {
+            let key = layout::assignment_key(shard, worker);
+            put(&mut transaction, key, &(worker, assignment))?;
+        }
         Ok(transaction)
     }
 }
--- a/src/coordinator/gateway.rs
+++ b/src/coordinator/gateway.rs
@@ -465,7 +465,8 @@
             WorkflowRequest::Ping { .. }
             | WorkflowRequest::Store { .. }
             | WorkflowRequest::Permits { .. }
-            | WorkflowRequest::TakeOver { .. } => {
+            | WorkflowRequest::TakeOver { .. }
+            | WorkflowRequest::Exchange { .. } => {
                 return None;
             }
         };
--- a/src/coordinator/handler.rs
+++ b/src/coordinator/handler.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::cluster_view::ClusterView;
+use super::event::Event;
 use super::gateway::Gateway;
 use super::message::{WorkflowReply, WorkflowRequest};
 use super::shards::{OwnerElectors, ShardId};
@@ -80,6 +81,16 @@
                 }
                 None => WorkflowReply::NotOwner(None),
             },
+            WorkflowRequest::Exchange { from, to, message } => {
+                let owner = self.electors.get(to).and_then(|elector| elector.owner());
+                let Some(owner) = owner else {
+                    return WorkflowReply::NotOwner(self.cluster.owner(to));
+                };
+                match owner.tell(Event::Exchange(from, message)).await {
+                    Ok(()) => WorkflowReply::Done,
+                    Err(_) => WorkflowReply::NotOwner(None),
+                }
+            }
         }
     }
 
--- a/src/coordinator/layout.rs
+++ b/src/coordinator/layout.rs
@@ -5,6 +5,7 @@
 //! these writes never block the owner's transactions and still work while some partitions are down.
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
 
 use super::shards::ShardId;
 use crate::model::{VmName, WorkerName};
@@ -33,6 +34,9 @@
 /// The table of the lists of workers that tasks may run on.
 pub(super) const WORKERS: &str = "workers";
 
+/// The table of workers that were assigned to another shard or by another shard.
+pub(super) const ASSIGNMENTS: &str = "assignments";
+
 /// The owner of a shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OwnerRecord {
@@ -143,6 +147,13 @@
     RecordKey::new(WORKERS, &shard_partition(shard), key)
 }
 
+/// The key of the assignment of a worker. Names of workers may have any characters and lengths, so
+/// that the key holds a hash.
+pub(super) fn assignment_key(shard: ShardId, worker: &WorkerName) -> RecordKey {
+    let hash = xxh3_128(worker.as_str().as_bytes());
+    RecordKey::new(ASSIGNMENTS, &shard_partition(shard), format!("{hash:032x}"))
+}
+
 /// The key of a workflow.
 pub(super) fn workflow_key(shard: ShardId, id: WorkflowId) -> RecordKey {
     RecordKey::new(WORKFLOWS, &shard_partition(shard), id.to_string())
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -8,6 +8,7 @@
 use crate::model::{QueueName, VmName, WorkerName};
 use crate::port::executor::{PermitError, Permits};
 use crate::port::record_store::{StoreCall, StoreError, StoreReply};
+use crate::workflow::exchange::ExchangeMessage;
 use crate::workflow::record::WorkflowState;
 use crate::workflow::{QueueConfig, StepId, WorkflowId, WorkflowSpec};
 
@@ -104,6 +105,15 @@
         /// The epoch of the previous owner.
         epoch: u64,
     },
+    /// Passes a message from the owner of one shard to that of another.
+    Exchange {
+        /// The shard of the sender.
+        from: ShardId,
+        /// The shard of the receiver.
+        to: ShardId,
+        /// The message.
+        message: ExchangeMessage,
+    },
 }
 
 /// A reply to a [`WorkflowRequest`].
@@ -134,6 +144,6 @@
     Permits(Result<Permits, PermitError>),
     /// The receiver does not own the shard; names the owner if it is known.
     NotOwner(Option<OwnerHint>),
-    /// The receiver will try to take over the shard.
+    /// The receiver will try to take over the shard, or handles the message.
     Done,
 }
--- a/src/coordinator/owner.rs
+++ b/src/coordinator/owner.rs
@@ -73,7 +73,7 @@
     /// `None` while a transaction is in flight.
     writer: Option<FencedWriter>,
     pub(super) ports: WorkflowOwnerPorts,
-    shard: ShardId,
+    pub(super) shard: ShardId,
     shard_map: ShardMap,
     pub(super) permit_queue: PermitQueue,
     /// Reply channels of requests that wait for a commit, indexed by reply token.
@@ -180,6 +180,7 @@
                 let _ = tx.send(recorded);
             }
             Event::Queues(queues) => self.engine.set_queues(queues),
+            Event::Exchange(from, message) => self.engine.handle_exchange(from, message, now),
             Event::Tick => self.tick(now),
             Event::Release(tx) => {
                 self.releasing = Some(OwnershipEnd::Released);
@@ -303,7 +304,8 @@
             match change {
                 WorkerChange::Listed(listing) => {
                     listed.push(listing.name.clone());
-                    self.engine.set_worker(listing, now);
+                    let home = self.shard_map.of_worker(&listing.name);
+                    self.engine.list_worker(listing, home, now);
                 }
                 WorkerChange::Unlisted(name) => self.engine.unlist_worker(&name),
             }
@@ -408,6 +410,7 @@
                     takes_ms,
                     priority,
                 }),
+                Effect::Exchange { to, message } => self.send_to_shard(to, message),
                 Effect::Accepted(token) => self.reply(token, WorkflowReply::Accepted),
                 Effect::Refused(token) => self.reply(token, WorkflowReply::Refused),
                 Effect::Cancelled(token) => self.reply(token, WorkflowReply::Cancelled),
--- a/src/coordinator/owner_calls.rs
+++ b/src/coordinator/owner_calls.rs
@@ -10,6 +10,7 @@
 use super::message::{WorkflowReply, WorkflowRequest};
 use super::owner::{WorkflowOwner, WorkflowOwnerPorts};
 use super::permit_queue::PermitRequest;
+use super::shards::ShardId;
 use crate::message::{Reply, Request};
 use crate::metrics::Counter;
 use crate::model::{Time, WorkerName};
@@ -17,12 +18,16 @@
 use crate::port::executor::{
     ExecutorError, PermitError, Permits, PollRequest, StartRequest, WorkerTarget,
 };
+use crate::workflow::exchange::ExchangeMessage;
 use crate::workflow::{StepId, TaskId, WorkerKey};
 
 /// Added to the estimated duration of a permit request. Covers the network latency and one earlier
 /// request of the same VM that is still in flight.
 const PERMIT_TIMEOUT_MARGIN_MS: u64 = 800;
 
+/// The timeout of a message to the owner of another shard.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Checks the owner's tenure when a request is sent, which may be long after it was decided if the
 /// process was suspended in between.
 struct SendingTenure {
@@ -125,6 +130,31 @@
         });
     }
 
+    /// Sends a message to the owner of another shard. It is repeated as long as it is needed, so that
+    /// its loss is only logged.
+    pub(super) fn send_to_shard(&self, to: ShardId, message: ExchangeMessage) {
+        let Some(owner) = self.ports.cluster.owner(to) else {
+            return;
+        };
+        let from = self.shard;
+        let request = Request::Workflow(WorkflowRequest::Exchange { from, to, message });
+        let ports = self.ports.clone();
+        tokio::spawn(async move {
+            let reply = ports
+                .peers
+                .call(owner.address, &request, EXCHANGE_TIMEOUT)
+                .await;
+            match reply {
+                Ok(Reply::Workflow(WorkflowReply::NotOwner(Some(hint)))) => {
+                    ports.cluster.set_owner(to, hint);
+                }
+                Ok(_) => {}
+                Err(error) => tracing::debug!(shard = to.0, %error,
+                    "cannot reach the owner of another shard; the message is repeated"),
+            }
+        });
+    }
+
     /// Sends queued permit requests through VMs that are idle.
     pub(super) fn send_permit_requests(&mut self, actor_ref: &ActorRef<Self>, now: Time) {
         while let Some((vm, request)) = self.permit_queue.next(now) {
--- a/src/coordinator/reader.rs
+++ b/src/coordinator/reader.rs
@@ -8,14 +8,15 @@
 
 use super::layout::{self, InboxEntry, OwnerRecord};
 use super::shards::ShardId;
+use crate::model::WorkerName;
 use crate::port::executor::WorkerListing;
 use crate::port::record_store::{
     Record, RecordKey, SharedRecordStore, StoreCall, StoreError, StoreReply,
 };
-use crate::workflow::WorkflowId;
 use crate::workflow::record::{
     self, RecordCodecError, WorkflowProgress, WorkflowRecord, WorkflowState,
 };
+use crate::workflow::{Assignment, WorkflowId};
 
 /// The timeout of one store call. The store responds within 4 ms, and up to sixty times slower during a
 /// disturbance.
@@ -33,6 +34,7 @@
     pub(super) workflows: Vec<(WorkflowId, WorkflowRecord, ProgressParts)>,
     /// The parts of the list of workers.
     pub(super) workers: Vec<(u32, Vec<WorkerListing>)>,
+    pub(super) assignments: Vec<(WorkerName, Assignment)>,
     pub(super) inbox_entries: Vec<InboxRecord>,
 }
 
@@ -140,6 +142,7 @@
     let workflows = scan(store, layout::WORKFLOWS, &partition).await?;
     let progress = scan(store, layout::PROGRESS, &partition).await?;
     let workers = scan(store, layout::WORKERS, &partition).await?;
+    let assignments = scan(store, layout::ASSIGNMENTS, &partition).await?;
     let mut unreadable = HashSet::new();
     let mut parts: HashMap<WorkflowId, ProgressParts> = HashMap::new();
     for record in &progress {
@@ -180,6 +183,7 @@
     Ok(ShardSnapshot {
         workflows: workflows.collect(),
         workers: workers.collect(),
+        assignments: assignments.iter().filter_map(decode).collect(),
         inbox_entries,
     })
 }
--- a/src/coordinator/shards.rs
+++ b/src/coordinator/shards.rs
@@ -21,6 +21,8 @@
 };
 use crate::workflow::WorkflowId;
 
+pub use crate::workflow::ShardId;
+
 /// The target number of workers per shard. With it, an owner needs less than half of the half core that
 /// a large VM of the larger deployments has, and wide gangs still find enough permitted workers.
 const WORKERS_PER_SHARD: usize = 192;
@@ -36,18 +38,6 @@
 /// listings every 1.5 s.
 const MAX_EMPTY_READS: u32 = 10;
 
-/// The number of a shard, starting at 0.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
-)]
-pub struct ShardId(pub u16);
-
-impl std::fmt::Display for ShardId {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 /// Assigns workflows and workers to shards.
 ///
 /// Workers are assigned by a hash of their names, which leaves shards of unequal size. Workflows are
--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -63,6 +63,8 @@
     /// The highest run number of the step's tasks.
     pub(super) last_run: u32,
     pub(super) permits: StepPermits,
+    /// Since when the step waits for room; `None` if all its tasks have been placed.
+    pub(super) waits_since: Option<Time>,
     /// When a log line last told why the step waits, at first when the step began.
     pub(super) wait_logged_at: Time,
 }
@@ -95,6 +97,7 @@
             progress,
             last_run,
             permits: StepPermits::default(),
+            waits_since: None,
             wait_logged_at: now,
         }
     }
--- a/src/workflow/engine/commit.rs
+++ b/src/workflow/engine/commit.rs
@@ -1,13 +1,14 @@
 //! The changes to commit to the store, and the handling of commit results.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use serde::Serialize;
 
 use super::{Effect, Engine, ReplyToken};
-use crate::model::Time;
+use crate::model::{Time, WorkerName};
 use crate::port::executor::WorkerListing;
+use crate::workflow::assignment::Assignment;
 use crate::workflow::fleet::WorkerKey;
 use crate::workflow::record::{self, WorkflowProgress, WorkflowRecord, WorkflowState, text_len};
 use crate::workflow::spec::{TaskId, WorkflowId};
@@ -47,6 +48,8 @@
     pub obsolete: Vec<(WorkflowId, u64)>,
     /// The changed parts of the list of workers that tasks may run on. An empty part is removed.
     pub workers: Vec<(u32, Vec<WorkerListing>)>,
+    /// Workers that are assigned to another shard, or by another shard to this one.
+    pub assignments: Vec<(WorkerName, Assignment)>,
     end_acks: Vec<EndAck>,
     /// Placed runs whose start requests are sent after the commit.
     starts: Vec<(WorkerKey, TaskId, u32)>,
@@ -62,6 +65,7 @@
             + self.progress.len()
             + self.obsolete.len()
             + self.workers.len()
+            + self.assignments.len()
     }
 
     /// The number of changes, each of which could be committed alone.
@@ -71,6 +75,7 @@
             + self.progress.len()
             + self.obsolete.len()
             + self.workers.len()
+            + self.assignments.len()
     }
 
     /// Whether the batch contains no changes.
@@ -100,6 +105,7 @@
     cancellers: HashMap<WorkflowId, Vec<ReplyToken>>,
     /// The changed parts of the list of workers.
     workers_changed: BTreeSet<u32>,
+    assignments: BTreeMap<WorkerName, Assignment>,
     in_flight: bool,
     assigned: Vec<(WorkerKey, TaskId, u32)>,
     /// The maximum number of changes in the next batch, while one that the store rejects is being
@@ -148,6 +154,11 @@
         self.workers_changed.insert(part);
     }
 
+    /// Records the assignment of a worker.
+    pub(super) fn assign(&mut self, worker: WorkerName, assignment: Assignment) {
+        self.assignments.insert(worker, assignment);
+    }
+
     /// Takes the new workflows that are not in a batch yet, with the callers that wait for them.
     pub(super) fn take_unsent(&mut self) -> Vec<(WorkflowId, Vec<ReplyToken>)> {
         let unsent: Vec<WorkflowId> = self.added.drain(..).collect();
@@ -164,6 +175,7 @@
             || !commit_queue.changed.is_empty()
             || !commit_queue.obsolete.is_empty()
             || !commit_queue.workers_changed.is_empty()
+            || !commit_queue.assignments.is_empty()
     }
 
     /// Takes the next batch of changes, unless another batch is in flight.
@@ -173,6 +185,7 @@
         }
         let mut batch = CommitBatch::default();
         self.take_workers(&mut batch, &limits);
+        self.take_assignments(&mut batch, &limits);
         // Runs are placed only on workers that are recorded.
         if self.commit_queue.workers_changed.is_empty() {
             // Up to half of the entries are for new workflows, so that callers do not wait long
@@ -318,6 +331,20 @@
         }
     }
 
+    fn take_assignments(&mut self, batch: &mut CommitBatch, limits: &BatchLimits) {
+        while self.may_add(batch)
+            && let Some((name, assignment)) = self.commit_queue.assignments.pop_first()
+        {
+            let len = record_len(&(&name, assignment));
+            if !batch.is_empty() && !batch.has_room(limits, 1, len) {
+                self.commit_queue.assignments.insert(name, assignment);
+                return;
+            }
+            batch.bytes += text_len(len);
+            batch.assignments.push((name, assignment));
+        }
+    }
+
     /// Where leases may be long if this owner is replaced after a write at `now`, including the workers
     /// on which runs start once `batch` is committed.
     pub fn long_leases(&self, batch: &CommitBatch, now: Time) -> LongLeases {
@@ -384,6 +411,7 @@
             self.set_ended(*id, *state);
             self.reply_cancelled(*id);
         }
+        self.handle_recorded_assignments(&batch.assignments, now);
         if !batch.workers.is_empty() {
             self.placement_due = true;
         }
@@ -437,6 +465,11 @@
                 "the store rejects a part of the list of workers; using these workers without a record"
             );
         }
+        for (name, assignment) in &batch.assignments {
+            tracing::error!(worker = %name, holder = assignment.holder.0,
+                "the store rejects the assignment of a worker; it stays where it is");
+            self.give_up_assignment(name);
+        }
         for (id, part) in &batch.obsolete {
             tracing::error!(request = %id, part,
                 "the store rejects the removal of a part of an ended workflow's progress; it stays");
@@ -473,6 +506,10 @@
         for (part, _) in &batch.workers {
             self.commit_queue.workers_changed(*part);
         }
+        for (name, assignment) in &batch.assignments {
+            let queued = self.commit_queue.assignments.entry(name.clone());
+            queued.or_insert(*assignment);
+        }
     }
 
     fn handle_recorded(&mut self, id: WorkflowId, existing: &[(WorkflowId, WorkflowRecord)]) {
--- a/src/workflow/engine/mod.rs
+++ b/src/workflow/engine/mod.rs
@@ -9,6 +9,7 @@
 mod commit;
 mod completion;
 mod crashes;
+mod exchange;
 mod permits;
 mod place;
 mod polling;
@@ -22,7 +23,10 @@
 use std::time::Duration;
 
 use self::commit::CommitQueue;
+use self::exchange::Exchange;
 use super::active::{ActiveWorkflow, StepState};
+use super::assignment::ShardId;
+use super::exchange::ExchangeMessage;
 use super::fleet::{Fleet, WorkerKey};
 use super::policy::{EngineConfig, QueuePolicy};
 use super::record::WorkflowState;
@@ -33,6 +37,7 @@
 use crate::port::executor::{PollRequest, StartRequest, WorkerTarget};
 
 pub use self::commit::{BatchLimits, CommitBatch, EndAck};
+pub(in crate::workflow) use self::exchange::Departure;
 pub use self::submission::{CancelStatus, SubmitStatus};
 
 /// The number of run numbers that each owner may use; the runs of the next owner are numbered above
@@ -95,6 +100,13 @@
         /// The priority of the queue; 0 is the most urgent.
         priority: u8,
     },
+    /// Send a message to the owner of another shard, which may be lost.
+    Exchange {
+        /// The other shard.
+        to: ShardId,
+        /// The message.
+        message: ExchangeMessage,
+    },
     /// Reply that the workflow is accepted and recorded.
     Accepted(ReplyToken),
     /// Reply that the workflow is refused and will never run.
@@ -130,6 +142,7 @@
     fencing_token: u64,
     tenure: Tenure,
     fleet: Fleet,
+    exchange: Exchange,
     queues: HashMap<QueueName, QueuePolicy>,
     active: HashMap<WorkflowId, ActiveWorkflow>,
     ended: HashMap<WorkflowId, WorkflowState>,
@@ -170,6 +183,7 @@
             fencing_token,
             tenure,
             fleet: Fleet::default(),
+            exchange: Exchange::default(),
             queues: HashMap::new(),
             active: HashMap::new(),
             ended: HashMap::new(),
@@ -294,6 +308,7 @@
             self.last_placement = Some(now);
             self.place_ready_steps(now);
         }
+        self.exchange_workers(now);
     }
 
     /// The lowest run number of this owner, used for a task whose earlier runs are not known.
--- a/src/workflow/engine/permits.rs
+++ b/src/workflow/engine/permits.rs
@@ -80,7 +80,12 @@
         let share = share.copied().unwrap_or(INITIAL_GRANTED_SHARE);
         let candidates = self.permit_candidates(step, spec, &state.permits, now);
         let workers = if spec.gang {
-            workers_to_request_for_gang(candidates, state.remaining)
+            let workers = workers_to_request_for_gang(candidates, state.remaining);
+            if workers.is_empty() {
+                self.workers_to_discover_elsewhere(step, spec, MAX_WORKERS_PER_REQUEST, now)
+            } else {
+                workers
+            }
         } else {
             let waiting = state.waiting().count();
             workers_to_request(candidates, waiting as f64, share)
@@ -129,7 +134,8 @@
                 permit.boot == worker.listing.boot && permit.expires_at > next_response
             });
             let eligible = permits.eligibility.get(name).copied();
-            let possible = worker.listed && !worker.listing.draining && eligible != Some(false);
+            let stays = !worker.listing.draining && worker.departure.is_none();
+            let possible = worker.listed && stays && eligible != Some(false);
             let left = |max: u32| max.saturating_sub(state.map_or(0, |state| state.count_on(key)));
             let max = spec.max_per_worker.map_or(u32::MAX, left);
             let max = max.min(spec.tasks);
--- a/src/workflow/engine/place.rs
+++ b/src/workflow/engine/place.rs
@@ -164,8 +164,12 @@
         let recorded = active.recorded;
         let may_fit = recorded && spec.reserved().fits_in(max_free);
         if may_fit && self.place_tasks(id, &spec, now) {
+            self.set_waits_since(id, None);
             return;
         }
+        if recorded {
+            self.set_waits_since(id, Some(now));
+        }
         // Permits are requested even while no worker has free capacity.
         if self.needs_permit(id) {
             self.request_permits(id, &spec, now);
@@ -176,6 +180,13 @@
         }
     }
 
+    /// Records that the step waits, or that it does not.
+    fn set_waits_since(&mut self, id: StepId, since: Option<Time>) {
+        if let Some(state) = self.step_mut(id) {
+            state.waits_since = since.map(|now| state.waits_since.unwrap_or(now));
+        }
+    }
+
     /// Places the tasks of the step that fit, a gang only as a whole. Returns whether all waiting
     /// tasks were placed.
     fn place_tasks(&mut self, id: StepId, spec: &StepSpec, now: Time) -> bool {
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -45,7 +45,10 @@
                 continue;
             };
             let due = worker.next_poll.is_some_and(|due| due <= now);
-            if due && !worker.poll_in_flight {
+            let departs = worker
+                .departure
+                .is_some_and(|departure| departure.is_being_recorded());
+            if due && !worker.poll_in_flight && !departs {
                 self.poll_worker(key, now);
             }
         }
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -21,7 +21,7 @@
         WorkerTarget {
             name: worker.listing.name.clone(),
             address: worker.listing.address,
-            fencing_token: self.fencing_token,
+            fencing_token: worker.fence_base.saturating_add(self.fencing_token),
         }
     }
 
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -1,5 +1,6 @@
 //! Workers that are listed, unlisted, restarted or unresponsive.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::Engine;
@@ -9,7 +10,7 @@
 use crate::workflow::active::TaskStatus;
 use crate::workflow::crash::LostRun;
 use crate::workflow::ended::Ended;
-use crate::workflow::fleet::{Worker, WorkerKey};
+use crate::workflow::fleet::WorkerKey;
 
 /// How long an unlisted worker without tasks is kept, so that its state survives an outage after
 /// which the platform lists it again within two seconds.
@@ -21,7 +22,7 @@
         let Some(key) = self.fleet.key(&listing.name) else {
             tracing::info!(worker = %listing.name, boot = listing.boot,
                 "worker added from the platform's list; polling it");
-            let mut worker = Worker::new(listing, true, now);
+            let mut worker = self.new_worker(listing, true, now);
             if let Some(recovery) = &self.recovery {
                 worker.inherit_leases(recovery.granted_until, recovery.all_leases_expire_at);
             }
@@ -70,7 +71,14 @@
             if self.fleet.key(&listing.name).is_some() {
                 continue;
             }
-            let key = self.fleet.insert_in(part, Worker::new(listing, false, now));
+            let assignments = &self.exchange.assignments;
+            if !assignments.holds(&listing.name, assignments.own()) {
+                // Assigned to another shard after the part was stored.
+                self.commit_queue.workers_changed(part);
+                continue;
+            }
+            let worker = self.new_worker(listing, false, now);
+            let key = self.fleet.insert_in(part, worker);
             let moved = self
                 .fleet
                 .get(key)
@@ -83,7 +91,7 @@
     }
 
     /// Marks the part of the stored list that holds the worker as changed.
-    fn mark_stored_part(&mut self, key: WorkerKey) {
+    pub(super) fn mark_stored_part(&mut self, key: WorkerKey) {
         if let Some(worker) = self.fleet.get(key) {
             self.commit_queue.workers_changed(worker.part);
         }
@@ -91,6 +99,7 @@
 
     /// Marks a worker as unlisted by the platform; no new task starts on it.
     pub fn unlist_worker(&mut self, name: &WorkerName) {
+        self.unlist_elsewhere(name);
         let key = self.fleet.key(name);
         if let Some(worker) = key.and_then(|key| self.fleet.get_mut(key)) {
             tracing::info!(worker = %name, runs = worker.runs.len(),
@@ -101,6 +110,8 @@
 
     /// Marks all workers except these as unlisted.
     pub fn retain_workers(&mut self, names: &[WorkerName]) {
+        let names: HashSet<&WorkerName> = names.iter().collect();
+        self.retain_elsewhere(|name| names.contains(name));
         let listed = self.fleet.iter().filter(|(_, worker)| worker.listed);
         let listed = listed.map(|(_, worker)| worker.listing.name.clone());
         let unlisted: Vec<WorkerName> = listed.filter(|name| !names.contains(name)).collect();
--- /dev/null
+++ b/src/workflow/exchange.rs
@@ -0,0 +1,38 @@
+//! Messages by which the owners of shards exchange workers.
+//!
+//! An owner with steps that wait asks the others for workers. Who can spare some assigns them, records
+//! that, and announces it until the receiver has recorded it too. Each message may be lost, late or
+//! repeated.
+
+use serde::{Deserialize, Serialize};
+
+use super::assignment::Assignment;
+use crate::model::{Resources, ServiceName, WorkerName};
+
+/// Workers that a shard could use at once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantedWorkers {
+    /// The service of the workers.
+    pub service: ServiceName,
+    /// The label that each must have.
+    pub label: Option<String>,
+    /// The least capacity of each.
+    pub capacity: Resources,
+    /// How many.
+    pub workers: u32,
+    /// Which, by name; any if this is empty.
+    pub names: Vec<WorkerName>,
+    /// How long the step has waited that wants them, in milliseconds.
+    pub waited_ms: u64,
+}
+
+/// A message from the owner of one shard to that of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ExchangeMessage {
+    /// The sender has steps that wait for these workers, the longest wait first.
+    Wanted(Vec<WantedWorkers>),
+    /// The sender has recorded that the receiver holds these workers.
+    Assigned(Vec<(WorkerName, Assignment)>),
+    /// The sender has recorded these assignments or later ones, by generation.
+    Recorded(Vec<(WorkerName, u64)>),
+}
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -1,14 +1,17 @@
 //! The workers of a shard, as tracked by the shard's owner.
 
 mod index;
+mod vacancy;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use slotmap::new_key_type;
 
+use super::assignment::ShardId;
 use super::crash::{LostRun, PROBATION};
 use super::ended::{Ended, KnownRun, LeaseEnds, MAX_DELIVERY, RunList, RunState};
+use super::engine::Departure;
 use super::policy::URGENT_PRIORITY;
 use super::spec::{TaskId, WorkflowId};
 use super::urgent_reserve::RESERVED_PERCENT;
@@ -16,6 +19,7 @@
 use crate::port::executor::WorkerListing;
 
 pub(super) use self::index::Fleet;
+pub(super) use self::vacancy::Vacant;
 
 new_key_type! {
     /// The key of a worker in the fleet.
@@ -91,6 +95,12 @@
     pub(super) part: u32,
     /// Whether the worker is on the platform's list.
     pub(super) listed: bool,
+    /// The shard that its name selects; `None` until that is known.
+    pub(super) home: Option<ShardId>,
+    /// The owner's fencing tokens for the worker are counted from here.
+    pub(super) fence_base: u64,
+    /// Set while the worker is being assigned to another shard.
+    pub(super) departure: Option<Departure>,
     /// Whether the current worker process has answered a poll, and so knows the owner's fencing
     /// token.
     pub(super) knows_fencing_token: bool,
@@ -153,6 +163,9 @@
             listing,
             part: 0,
             listed,
+            home: None,
+            fence_base: 0,
+            departure: None,
             knows_fencing_token: false,
             runs: HashMap::new(),
             reserved: Resources::default(),
@@ -214,6 +227,8 @@
             next.reserve(task, reserved);
         }
         next.part = self.part;
+        (next.home, next.fence_base) = (self.home, self.fence_base);
+        next.departure = self.departure;
         (next.speed, next.successes) = (self.speed, self.successes);
         next.poll_in_flight = self.poll_in_flight;
         // The new process may have taken leases that were counted by the clock of the earlier one.
@@ -231,6 +246,7 @@
     /// Whether new tasks may start on the worker.
     pub(super) fn is_usable(&self, now: Time) -> bool {
         self.listed
+            && self.departure.is_none()
             && self.knows_fencing_token
             && !self.listing.draining
             && self.unknown_runs == 0
@@ -568,7 +584,7 @@
 }
 
 /// How many times `need` fits in `capacity`.
-fn fitting_count(need: &Resources, capacity: &Resources) -> u32 {
+pub(super) fn fitting_count(need: &Resources, capacity: &Resources) -> u32 {
     let count = |capacity: u32, need: u32| capacity.checked_div(need).unwrap_or(u32::MAX);
     let cpu = count(capacity.cpu_milli, need.cpu_milli);
     let memory = count(capacity.memory_mib, need.memory_mib);
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -4,9 +4,11 @@
 //! what callers submit.
 
 mod active;
+mod assignment;
 pub mod crash;
 pub mod ended;
 mod engine;
+pub mod exchange;
 mod fleet;
 mod parts;
 mod policy;
@@ -17,6 +19,7 @@
 mod tenure;
 pub mod urgent_reserve;
 
+pub use assignment::{Assignment, Assignments, ShardId};
 pub use engine::{
     BatchLimits, CancelStatus, CommitBatch, Effect, EndAck, Engine, ReplyToken, SubmitStatus,
 };
--- a/tests/workflow/network.rs
+++ b/tests/workflow/network.rs
@@ -42,6 +42,8 @@
     target: WorkerTarget,
     body: Body,
     sent_ms: u64,
+    /// The epoch of the owner that sent it.
+    epoch: u64,
     /// Whether the task to start was done when the request was sent.
     is_done: bool,
 }
@@ -87,6 +89,7 @@
             target,
             body,
             sent_ms: self.now_ms,
+            epoch: self.acting_epoch(),
             is_done,
         };
         let Some(reached) = self.worker(&request.target) else {
@@ -237,7 +240,7 @@
 
     /// Whether the answer is lost because the worker is out of reach of the owner.
     fn is_cut_off(&mut self, request: &Request) -> bool {
-        let is_current = request.target.fencing_token == self.epoch;
+        let is_current = request.epoch == self.epoch;
         self.find(&request.target.name).is_none_or(|worker| {
             if is_current {
                 worker.unreachable
@@ -284,7 +287,7 @@
                 ScheduledEvent::Poll(worker, request.sent_ms, response)
             }
         };
-        if let Some(events) = self.events_of(request.target.fencing_token) {
+        if let Some(events) = self.events_of(request.epoch) {
             events.push((at, event));
         }
     }
--- a/tests/workflow/world.rs
+++ b/tests/workflow/world.rs
@@ -3,18 +3,20 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use chestnutlug::coordinator::shards::ShardMap;
 use chestnutlug::model::{QueueName, Resources, ServiceName, Time, WorkerName, ZoneName};
 use chestnutlug::port::executor::{
     ActiveRun, EndedRun, ExecutorError, Permit, Permits, PollRequest, PollResponse, Rejection,
     RunEnd, StartRequest, WorkerListing, WorkerTarget,
 };
+use chestnutlug::workflow::exchange::ExchangeMessage;
 use chestnutlug::workflow::record::{
     MAX_RECORD_BYTES, WorkflowProgress, WorkflowRecord, WorkflowState, encoded_len,
 };
 use chestnutlug::workflow::{
-    BatchLimits, CommitBatch, Effect, Engine, EngineConfig, LongLeases, PermitLatency, Predecessor,
-    QueuePolicy, ReplyToken, StepSpec, TaskId, Tenure, WorkerKey, WorkflowId, WorkflowSpec,
-    predecessor_ends_at,
+    Assignment, BatchLimits, CommitBatch, Effect, Engine, EngineConfig, LongLeases, PermitLatency,
+    Predecessor, QueuePolicy, ReplyToken, ShardId, StepSpec, TaskId, Tenure, WorkerKey, WorkflowId,
+    WorkflowSpec, predecessor_ends_at,
 };
 
 use crate::crash_world::Crashes;
@@ -156,6 +158,13 @@
     pub stale: Option<StaleOwner>,
     /// Whether the stale owner acts now.
     stale_acts: bool,
+    stale_epoch: u64,
+    /// The shard of the engine, if the fleet has several.
+    pub place: Option<(ShardMap, ShardId)>,
+    /// The stored assignments of workers.
+    pub assignments: BTreeMap<WorkerName, Assignment>,
+    /// Messages to the owners of other shards.
+    pub outgoing: Vec<(ShardId, ExchangeMessage)>,
 }
 
 pub fn queue(permits: bool) -> QueuePolicy {
@@ -231,6 +240,10 @@
             long_leases: LongLeases::Workers(Vec::new()),
             stale: None,
             stale_acts: false,
+            stale_epoch: 0,
+            place: None,
+            assignments: BTreeMap::new(),
+            outgoing: Vec::new(),
         };
         world.engine.set_queues(vec![world.queue.clone()]);
         for index in 0..workers {
@@ -285,10 +298,23 @@
     pub fn list_workers(&mut self) {
         let now = self.now();
         for worker in self.workers.iter().filter(|worker| !worker.is_down) {
-            self.engine.set_worker(worker.listing.clone(), now);
+            match self.place {
+                None => self.engine.set_worker(worker.listing.clone(), now),
+                Some((map, _)) => {
+                    let home = map.of_worker(&worker.listing.name);
+                    self.engine.list_worker(worker.listing.clone(), home, now);
+                }
+            }
         }
     }
 
+    /// Makes the engine the owner of one of several shards.
+    pub fn join_shards(&mut self, map: ShardMap, own: ShardId) {
+        self.place = Some((map, own));
+        let shards = u16::try_from(map.shards().count()).unwrap();
+        self.engine.join_shards(own, shards);
+    }
+
     /// Replaces the engine, as a new owner does after the previous one is lost. `queues_known` says
     /// whether the new owner knows the configuration when it loads the workflows.
     pub fn take_over(&mut self, queues_known: bool) {
@@ -302,6 +328,12 @@
         if queues_known {
             self.engine.set_queues(vec![self.queue.clone()]);
         }
+        if let Some((map, own)) = self.place {
+            self.join_shards(map, own);
+        }
+        for (worker, assignment) in &self.assignments {
+            self.engine.load_assignment(worker.clone(), *assignment);
+        }
         for (part, workers) in self.stored_workers.clone() {
             self.engine.restore_workers(part, workers, now);
         }
@@ -350,6 +382,7 @@
         worker.listing.boot = self.now_ms;
         worker.started_ms = self.now_ms;
         let earlier = &self.workers[index];
+        worker.listing.capacity = earlier.listing.capacity;
         worker.max_lease_ms = earlier.max_lease_ms;
         worker.slow_percent = earlier.slow_percent;
         worker.link = earlier.link.clone();
@@ -419,6 +452,7 @@
             return;
         };
         self.stale_acts = true;
+        self.stale_epoch = stale.epoch;
         std::mem::swap(&mut self.engine, &mut stale.engine);
         std::mem::swap(&mut self.scheduled, &mut stale.scheduled);
         self.run_engine();
@@ -537,6 +571,7 @@
         for (part, workers) in &batch.workers {
             self.stored_workers.insert(*part, workers.clone());
         }
+        self.assignments.extend(batch.assignments.iter().cloned());
         let now = self.now();
         self.engine.handle_commit(batch, &existing, now);
     }
@@ -569,6 +604,7 @@
                 now_ms + takes_ms + 2,
                 ScheduledEvent::Permits(step, workers),
             )),
+            Effect::Exchange { to, message } => self.outgoing.push((to, message)),
             Effect::Accepted(token) => {
                 self.accepted.insert(token.0);
             }
@@ -581,13 +617,19 @@
         }
     }
 
-    /// The events of the owner with this fencing token, unless it is gone.
-    pub fn events_of(&mut self, fencing_token: u64) -> Option<&mut Vec<(u64, ScheduledEvent)>> {
-        if self.stale_acts || fencing_token == self.epoch {
+    /// The epoch of the owner that acts now.
+    pub fn acting_epoch(&self) -> u64 {
+        let stale = self.stale_acts.then_some(self.stale_epoch);
+        stale.unwrap_or(self.epoch)
+    }
+
+    /// The events of the owner with this epoch, unless it is gone.
+    pub fn events_of(&mut self, epoch: u64) -> Option<&mut Vec<(u64, ScheduledEvent)>> {
+        if self.stale_acts || epoch == self.epoch {
             return Some(&mut self.scheduled);
         }
         let stale = self.stale.as_mut();
-        let stale = stale.filter(|stale| stale.epoch == fencing_token);
+        let stale = stale.filter(|stale| stale.epoch == epoch);
         stale.map(|stale| &mut stale.scheduled)
     }
 
@@ -621,12 +663,19 @@
             .workers
             .iter()
             .any(|worker| worker.runs.contains_key(&task));
+        let is_other_shards = self.place.is_some() && self.runs_other_shards_task(&target.name);
         let worker = self.find(&target.name)?;
         let response = worker.start(target, request, need, task_ms, now_ms);
         let fits = worker.load().fits_in(&worker.listing.capacity);
         if response.is_ok() {
             self.starts.push((now_ms, task, request.run));
             self.crashes.task_started(task, target, now_ms);
+            if is_other_shards {
+                let name = &target.name;
+                self.violations.push(format!(
+                    "{task} starts at {now_ms} on {name}, which runs tasks of another shard"
+                ));
+            }
             if is_running {
                 self.violations
                     .push(format!("{task} runs twice at {now_ms}"));
@@ -643,6 +692,16 @@
         Some(response)
     }
 
+    /// Whether a task that this shard does not know runs on the worker.
+    fn runs_other_shards_task(&self, name: &WorkerName) -> bool {
+        let worker = self.workers.iter();
+        let mut worker = worker.filter(|worker| worker.listing.name == *name);
+        worker.any(|worker| {
+            let mut tasks = worker.runs.keys();
+            tasks.any(|task| !self.records.contains_key(&task.step.workflow))
+        })
+    }
+
     fn spec_of(&self, task: TaskId) -> StepSpec {
         match self.records.get(&task.step.workflow) {
             Some(WorkflowRecord::Active(spec)) => spec.steps[task.step.step as usize].clone(),
