Take a gang as done whose end is recorded in part

A gang with more than 64 tasks has its end recorded part by part. If the owner and the workers that could list the end again were lost in between, the new owner saw some members done and some waiting, and started the gang never again: it starts only with all its members, and done ones do not wait. The members of a gang end together, so one recorded end is the end of all. takeover::a_gang_whose_end_is_recorded_in_part_runs_again failed for 4 of 4 workflows before (Running after 60 s) and passes.

--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -70,7 +70,11 @@
 }
 
 impl StepState {
-    fn new(spec: &StepSpec, progress: StepProgress, now: Time) -> Self {
+    fn new(spec: &StepSpec, mut progress: StepProgress, now: Time) -> Self {
+        // The members of a gang end together, and the parts of the progress are stored one by one.
+        if spec.gang && (0..spec.tasks).any(|index| progress.is_done(index)) {
+            (0..spec.tasks).for_each(|index| progress.set_done(index));
+        }
         let task = |index| TaskState {
             status: if progress.is_done(index) {
                 TaskStatus::Done
--- a/tests/workflow/takeover.rs
+++ b/tests/workflow/takeover.rs
@@ -3,7 +3,7 @@
 use chestnutlug::model::Time;
 use chestnutlug::port::executor::RunEnd;
 use chestnutlug::workflow::record::WorkflowState;
-use chestnutlug::workflow::{StepSpec, Tenure};
+use chestnutlug::workflow::{StepSpec, Tenure, WorkflowId};
 use quickcheck::{Arbitrary, Gen};
 
 use crate::world::{FakeWorker, LEASE_MS, World, step};
@@ -377,3 +377,39 @@
     );
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
+
+/// The end of a gang is recorded part by part. The owner is lost in between, and so are the workers that
+/// could list it again.
+#[test]
+fn a_gang_whose_end_is_recorded_in_part_runs_again() {
+    for id in 0..4 {
+        let mut world = World::new(60, false);
+        world.max_entries = 2;
+        world.commit_ms = 300;
+        let gang = StepSpec {
+            gang: true,
+            ..step(180, 1_000)
+        };
+        world.run_for(2_000);
+        let second = StepSpec {
+            depends_on: vec![0],
+            ..step(1, 1_000)
+        };
+        world.submit(id, vec![gang, second]);
+        let is_done = |world: &World, part, index| {
+            let progress = world.progress.get(&(WorkflowId(id), part));
+            let step = progress.and_then(|progress| progress.step((0, 0)));
+            step.is_some_and(|step| step.is_done(index))
+        };
+        while world.now_ms < 30_000 && !is_done(&world, 2, 179) {
+            world.run_for(5);
+        }
+        assert!(!is_done(&world, 0, 0) && world.state(id) != Some(WorkflowState::Complete));
+        for index in 0..60 {
+            world.restart_worker_unnoticed(index);
+        }
+        world.take_over(true);
+        world.run_for(60_000);
+        assert_eq!(world.state(id), Some(WorkflowState::Complete), "{id}");
+    }
+}
