Let a gang's reservation lapse while it collects no more capacity

A gang now reserves only while the number of its tasks that fit grows; once it has not grown for the estimated run time of the gang, it leaves the capacity to others for as long. So it delays others by no more than it would run itself.

--- a/src/workflow/engine/reservation.rs
+++ b/src/workflow/engine/reservation.rs
@@ -4,12 +4,15 @@
 //! fleet, capacity becomes free one task at a time, and tasks of other steps take it before it is
 //! enough for a gang. A gang that cannot start therefore reserves free capacity on eligible workers
 //! against the steps that come later in the placement order. A reservation lasts for one placement
-//! round, and the next round makes it again, so that none outlives its gang.
+//! round, and the next round makes it again, so that none outlives its gang. A gang that collects no
+//! more capacity for a while leaves what it has to others for as long.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 use super::Engine;
 use crate::model::{Resources, Time};
+use crate::workflow::active::Collecting;
 use crate::workflow::fleet::WorkerKey;
 use crate::workflow::spec::{StepId, StepSpec};
 
@@ -18,6 +21,11 @@
 /// unused for longer than one after the other.
 const MAX_RESERVED_PERCENT: u64 = 15;
 
+/// How long a gang reserves capacity without collecting more of it, at least and at most. In between, it
+/// is the estimated run time of its tasks: a gang delays others by no more than it would run itself.
+const MIN_PATIENCE: Duration = Duration::from_secs(1);
+const MAX_PATIENCE: Duration = Duration::from_secs(10);
+
 /// A worker that is eligible for a gang.
 #[derive(Clone, Copy, Debug)]
 struct EligibleWorker {
@@ -48,6 +56,11 @@
         if when_empty.fold(0, u32::saturating_add) < spec.tasks {
             return;
         }
+        let fitting = workers.iter().map(|worker| worker.fitting);
+        let fitting = fitting.fold(0, u32::saturating_add).min(spec.tasks);
+        if !self.collects(id, spec, fitting, now) {
+            return;
+        }
         for (key, reserved) in reservations(workers, &spec.reserved(), spec.tasks) {
             if let Some(worker) = self.fleet.get_mut(key) {
                 worker.reserve_for_gang(&reserved);
@@ -55,6 +68,35 @@
         }
     }
 
+    /// Whether a gang of which `fitting` tasks fit now may reserve capacity. Once that number no longer
+    /// grows, as its other workers stay busy, it leaves the capacity to others for a while.
+    fn collects(&mut self, id: StepId, spec: &StepSpec, fitting: u32, now: Time) -> bool {
+        let Some(state) = self.step_mut(id) else {
+            return false;
+        };
+        if now < state.reserves_from {
+            return false;
+        }
+        let patience = Duration::from_millis(u64::from(spec.estimate_ms));
+        let patience = patience.clamp(MIN_PATIENCE, MAX_PATIENCE);
+        let collecting = state.collecting.get_or_insert(Collecting {
+            fitting,
+            grown_at: now,
+        });
+        if fitting > collecting.fitting {
+            *collecting = Collecting {
+                fitting,
+                grown_at: now,
+            };
+        }
+        if now.since(collecting.grown_at) <= patience {
+            return true;
+        }
+        state.collecting = None;
+        state.reserves_from = now + patience;
+        false
+    }
+
     /// The part of the processors of all workers that gangs reserve, in percent.
     fn reserved_percent(&self) -> u64 {
         let (mut total, mut reserved) = (0, 0);
--- a/tests/workflow/waiting.rs
+++ b/tests/workflow/waiting.rs
@@ -193,3 +193,49 @@
         assert_eq!(state, Some(WorkflowState::Complete), "behind {waiting}");
     }
 }
+
+/// The second step of issue 35 (60 tasks, two on a worker) behind older gangs that lack busy workers, which
+/// kept it from starting for ever.
+#[test]
+fn a_late_gang_starts_on_idle_workers_behind_late_ones_that_wait_for_busy_workers() {
+    let mut late = Vec::new();
+    for id in [0, 2, 3, 4, 5, 7] {
+        let mut world = slow_permits(183, 35, 24);
+        world.set_capacity(Resources {
+            cpu_milli: 16_000,
+            memory_mib: 65_536,
+            accelerators: 0,
+        });
+        world.queue.slack_factor = 0.05;
+        world.queue.slo_ms = 100;
+        world.engine.set_queues(vec![world.queue.clone()]);
+        let name = world.queue.name.clone();
+        world.eligible_percent.insert(name.clone(), 100);
+        world.task_ms = Some(120_000);
+        let mut filler = step(40, 14_000);
+        filler.need.memory_mib = 60_000;
+        filler.max_per_worker = Some(1);
+        world.submit(9_999, vec![filler]);
+        world.run_for(4_000);
+        world.eligible_percent.insert(name, 35);
+        world.task_ms = Some(2_000);
+        for other in 0..3 {
+            let mut wider = gang(50);
+            wider.need.cpu_milli = 4_150;
+            wider.need.memory_mib = 32_992;
+            world.submit(1_000 + other, vec![wider]);
+        }
+        world.run_for(3_000);
+        let mut second = gang(60);
+        second.need.cpu_milli = 2_800;
+        second.need.memory_mib = 27_408;
+        second.depends_on = vec![0];
+        world.submit(id, vec![gang(4), second]);
+        // Permits for both steps, two rests of the older gangs, and the runs.
+        world.run_for(16_000);
+        if world.state(id) != Some(WorkflowState::Complete) {
+            late.push(id);
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
