Mend what the review of the exchange found

A departing worker is no longer dropped. - Urgent work could not get its home workers back from a batch in another shard, whose wait was longer: not complete after 120 s. Claims are ordered by priority, then by wait, and home workers are recalled: they leave once their runs have ended. - 40 steps that nothing helps kept a step from its claim: not complete after 120 s.

--- a/src/workflow/engine/exchange.rs
+++ b/src/workflow/engine/exchange.rs
@@ -1,8 +1,8 @@
 //! The exchange of workers with other shards.
 //!
-//! Steps that wait claim workers of other shards, the longest wait first. An owner gives away idle
-//! workers that none of its own steps with a longer wait could use, keeps a part of its home workers,
-//! and returns what it no longer needs.
+//! Steps that wait claim workers of other shards, the most urgent first, then the longest wait. An owner
+//! gives away idle workers, and those at home in the other shard, that none of its own earlier claims
+//! could use, keeps a part of its home workers, and returns what it no longer needs.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -37,7 +37,8 @@
 /// The maximum number of workers that a round asks for by name.
 const MAX_NAMES: usize = 100;
 
-/// The number of steps with claims that a round considers.
+/// The number of waiting steps that a round considers, and the number of claims that it makes for them.
+const MAX_CLAIMING_STEPS: usize = 96;
 const MAX_CLAIMS: usize = 16;
 
 /// The maximum number of workers in one request, for all shards together.
@@ -53,7 +54,7 @@
 const MAX_RETURNED: usize = 16;
 
 /// How long a worker that is to leave may take until it is vacant.
-const MAX_LEAVING: Duration = Duration::from_secs(2);
+const MAX_LEAVING: Duration = Duration::from_secs(10);
 
 /// The maximum number of workers in one announcement.
 const MAX_ANNOUNCED: usize = 200;
@@ -82,6 +83,7 @@
     step: StepId,
     spec: StepSpec,
     service: ServiceName,
+    priority: u8,
     waited: Duration,
     /// How many workers it lacks in this shard.
     workers: u32,
@@ -89,6 +91,13 @@
     names: Option<Vec<WorkerName>>,
 }
 
+impl Claim {
+    /// Whether the claim comes before one of this priority and wait.
+    fn precedes(&self, priority: u8, waited: Duration) -> bool {
+        (self.priority, Reverse(self.waited)) <= (priority, Reverse(waited))
+    }
+}
+
 /// The state of the exchange.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Exchange {
@@ -205,19 +214,25 @@
         }
     }
 
-    /// The claims of the steps that have waited longest.
+    /// The claims of waiting steps, the most urgent first, then the longest wait.
     fn claims(&self, now: Time) -> Vec<Claim> {
-        let waiting = self.ready.iter().filter_map(|key| {
+        let waiting = self.waiting_steps(now).filter(|(_, waited, _)| {
+            (waited.as_millis() / CLAIM_PERIOD.as_millis()).is_multiple_of(2)
+        });
+        let mut waiting: Vec<(u8, Duration, StepId)> = waiting.collect();
+        waiting.sort_by_key(|(priority, waited, step)| (*priority, Reverse(*waited), *step));
+        let claims = waiting.into_iter().take(MAX_CLAIMING_STEPS);
+        let claims = claims.filter_map(|(_, waited, step)| self.claim(step, waited, now));
+        claims.take(MAX_CLAIMS).collect()
+    }
+
+    /// The steps that have waited for a while: priority, how long, and which.
+    fn waiting_steps(&self, now: Time) -> impl Iterator<Item = (u8, Duration, StepId)> {
+        let waiting = self.ready.iter().filter_map(move |key| {
             let waited = now.since(self.step(key.step)?.waits_since?);
-            let rests = (waited.as_millis() / CLAIM_PERIOD.as_millis()) % 2 == 1;
-            (waited >= MIN_WAIT && !rests).then_some((waited, key.step))
+            Some((key.priority, waited, key.step))
         });
-        let mut waiting: Vec<(Duration, StepId)> = waiting.collect();
-        waiting.sort_by_key(|(waited, step)| (Reverse(*waited), *step));
-        let claims = waiting.into_iter().take(MAX_CLAIMS);
-        claims
-            .filter_map(|(waited, step)| self.claim(step, waited, now))
-            .collect()
+        waiting.filter(|(_, waited, _)| *waited >= MIN_WAIT)
     }
 
     fn claim(&self, id: StepId, waited: Duration, now: Time) -> Option<Claim> {
@@ -231,19 +246,22 @@
         if !active.recorded || active.is_final() {
             return None;
         }
-        if state.waiting().any(is_held_back) {
-            return None;
-        }
-        let waiting = u32::try_from(state.waiting().count()).unwrap_or(u32::MAX);
-        let missing = f64::from(waiting) - self.expected_room(id, spec, state, now);
-        let per_worker = self.tasks_on_largest_worker(id, spec);
-        if per_worker == 0 {
+        let held_back = state.waiting().filter(|index| is_held_back(*index)).count();
+        let waiting = state.waiting().count() - held_back;
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let (per_worker, in_fleet) = self.room_in_fleet(id, spec, state);
+        if waiting == 0 || in_fleet < if spec.gang { spec.tasks } else { 1 } {
             return None;
         }
+        let missing = if spec.gang && held_back > 0 {
+            0.0
+        } else {
+            f64::from(waiting) - self.expected_room(id, spec, state, now)
+        };
         let names = (spec.gang && self.needs_permit(id)).then(|| {
-            let eligible = self.elsewhere_for(id, spec);
+            let names = self.elsewhere_for(id, spec).map(|listing| &listing.name);
             let eligible =
-                eligible.filter(|name| state.permits.eligibility.get(*name).copied() == Some(true));
+                names.filter(|name| state.permits.eligibility.get(*name).copied() == Some(true));
             let mut names: Vec<WorkerName> = eligible.cloned().collect();
             names.sort_unstable();
             names
@@ -266,6 +284,7 @@
             step: id,
             spec: spec.clone(),
             service: active.policy.service.clone(),
+            priority: active.policy.priority,
             waited,
             workers: workers.min(max),
             names,
@@ -277,7 +296,7 @@
         &'a self,
         id: StepId,
         spec: &'a StepSpec,
-    ) -> impl Iterator<Item = &'a WorkerName> {
+    ) -> impl Iterator<Item = &'a WorkerListing> {
         let active = self.active.get(&id.workflow);
         let service = active.map(|active| &active.policy.service);
         let elsewhere = self.exchange.elsewhere.values();
@@ -288,7 +307,7 @@
                 && label.is_none_or(|label| listing.labels.contains(label))
                 && spec.reserved().fits_in(&listing.capacity)
         });
-        fitting.map(|(listing, _)| &listing.name)
+        fitting.map(|(listing, _)| listing)
     }
 
     /// Up to `max` workers of other shards whose eligibility for a waiting gang is not known, if the
@@ -323,14 +342,14 @@
         } else {
             return Vec::new();
         };
-        let per_worker = self.tasks_on_largest_worker(id, spec);
-        let eligible = self.elsewhere_for(id, spec);
-        let eligible = eligible.filter(|name| is_eligible(name)).count();
-        let eligible = u32::try_from(eligible).unwrap_or(u32::MAX);
-        if own.saturating_add(eligible.saturating_mul(per_worker)) >= wanted {
+        let elsewhere = self.elsewhere_for(id, spec);
+        let eligible = elsewhere.filter(|listing| is_eligible(&listing.name));
+        let eligible = eligible
+            .map(|listing| fitting_count(&spec.reserved(), &listing.capacity).min(max_per_worker));
+        if eligible.fold(own, u32::saturating_add) >= wanted {
             return Vec::new();
         }
-        let unknown = self.elsewhere_for(id, spec);
+        let unknown = self.elsewhere_for(id, spec).map(|listing| &listing.name);
         let unknown = unknown.filter(|name| !eligibility.contains_key(*name));
         let mut unknown: Vec<WorkerName> = unknown.cloned().collect();
         unknown.sort_unstable();
@@ -374,22 +393,22 @@
         share.copied().unwrap_or(1.0).max(MIN_GRANTED_SHARE)
     }
 
-    /// How many tasks of the step the largest worker of the whole fleet holds.
-    fn tasks_on_largest_worker(&self, id: StepId, spec: &StepSpec) -> u32 {
-        let Some(active) = self.active.get(&id.workflow) else {
-            return 0;
-        };
-        let own = self.fleet.iter().map(|(_, worker)| &worker.listing);
-        let elsewhere = self.exchange.elsewhere.values().map(|(listing, _)| listing);
-        let usable = own.chain(elsewhere).filter(|listing| {
-            let label = spec.required_label.as_ref();
-            !listing.draining
-                && listing.service == active.policy.service
-                && label.is_none_or(|label| listing.labels.contains(label))
-        });
+    /// How many tasks of the step the largest worker of the whole fleet holds, and how many all workers
+    /// together that may be eligible, if they were empty.
+    fn room_in_fleet(&self, id: StepId, spec: &StepSpec, state: &StepState) -> (u32, u32) {
         let max = spec.max_per_worker.unwrap_or(u32::MAX).min(spec.tasks);
-        let fitting = usable.map(|listing| fitting_count(&spec.reserved(), &listing.capacity));
-        fitting.max().unwrap_or(0).min(max)
+        let own = self.fleet.iter();
+        let own = own.filter(|(_, worker)| worker.listed && self.matches_step(worker, id, spec));
+        let own = own.map(|(_, worker)| &worker.listing);
+        let listings = own.chain(self.elsewhere_for(id, spec));
+        let eligible = listings.filter(|listing| {
+            let eligible = state.permits.eligibility.get(&listing.name).copied();
+            !listing.draining && eligible != Some(false)
+        });
+        eligible.fold((0, 0), |(largest, total): (u32, u32), listing| {
+            let fitting = fitting_count(&spec.reserved(), &listing.capacity).min(max);
+            (largest.max(fitting), total.saturating_add(fitting))
+        })
     }
 
     /// Asks the other shards for the workers that the claims need.
@@ -417,6 +436,7 @@
                     None => claim.workers.div_ceil(others),
                 },
                 names: names.unwrap_or_default(),
+                priority: claim.priority,
                 waited_ms: as_millis(claim.waited),
             });
         }
@@ -431,41 +451,53 @@
         }
     }
 
-    /// Gives idle workers to the shard `to`: those that it names, or up to half of them.
+    /// Gives workers to the shard `to`: idle ones, those that it names or up to half of them, and then
+    /// its home workers, which leave once their runs have ended.
     fn spare_workers(&mut self, to: ShardId, wanted: &WantedWorkers, claims: &[Claim], now: Time) {
         let waited = Duration::from_millis(wanted.waited_ms);
-        let older = claims.iter().filter(|claim| claim.waited >= waited);
-        let older: Vec<&Claim> = older.collect();
-        let spare = self.fleet.iter().filter(|(_, worker)| {
+        let earlier = claims.iter();
+        let earlier = earlier.filter(|claim| claim.precedes(wanted.priority, waited));
+        let earlier: Vec<&Claim> = earlier.collect();
+        let useful = self.fleet.iter().filter(|(_, worker)| {
             let label = wanted.label.as_ref();
-            self.is_idle(worker, now)
+            worker.is_usable(now)
                 && worker.listing.service == wanted.service
                 && label.is_none_or(|label| worker.listing.labels.contains(label))
                 && wanted.capacity.fits_in(&worker.listing.capacity)
                 && (wanted.names.is_empty() || wanted.names.contains(&worker.listing.name))
-                && !older.iter().any(|claim| self.could_use(claim, worker))
+                && !earlier.iter().any(|claim| self.could_use(claim, worker))
         });
-        let mut spare: Vec<(WorkerKey, &Worker)> = spare.collect();
-        spare.sort_by_key(|(key, worker)| (worker.home != Some(to), *key));
+        let useful: Vec<(WorkerKey, &Worker)> = useful.collect();
+        let idle = useful
+            .iter()
+            .filter(|(_, worker)| self.is_idle(worker, now));
+        let mut idle: Vec<&(WorkerKey, &Worker)> = idle.collect();
+        idle.sort_by_key(|(key, worker)| (worker.home != Some(to), *key));
+        let spared = if wanted.names.is_empty() {
+            idle.len().div_ceil(2)
+        } else {
+            idle.len()
+        };
+        let recalled = useful
+            .iter()
+            .filter(|(_, worker)| worker.home == Some(to) && !self.is_idle(worker, now));
+        let given = idle.iter().take(spared).copied().chain(recalled);
+        let given = given.take((wanted.workers as usize).min(self.removable_workers()));
+        let keys: Vec<WorkerKey> = given.map(|(key, _)| *key).collect();
+        self.begin_departures(&keys, to, now);
+    }
+
+    /// How many workers this shard may give away so that it keeps a part of its home workers.
+    fn removable_workers(&self) -> usize {
         let own = self.exchange.assignments.own();
-        let own_home = |home: &ShardId| *home == own;
         let home = self.fleet.iter().filter_map(|(_, worker)| worker.home);
-        let home = home.filter(own_home).count();
+        let home = home.filter(|home| *home == own).count();
         let away = self.exchange.elsewhere.values();
-        let away = away.filter(|(_, home)| own_home(home)).count();
+        let away = away.filter(|(_, home)| *home == own).count();
         let kept = (home + away) * KEPT_PERCENT / 100;
         let staying = self.fleet.iter();
         let staying = staying.filter(|(_, worker)| worker.departure.is_none());
-        let spared = if wanted.names.is_empty() {
-            spare.len().div_ceil(2)
-        } else {
-            spare.len()
-        };
-        let given = (wanted.workers as usize)
-            .min(spared)
-            .min(staying.count().saturating_sub(kept));
-        let keys: Vec<WorkerKey> = spare.into_iter().take(given).map(|(key, _)| key).collect();
-        self.begin_departures(&keys, to, now);
+        staying.count().saturating_sub(kept)
     }
 
     /// Whether the worker could be assigned to another shard: nothing runs there, and it is not part
@@ -492,9 +524,14 @@
             return;
         }
         let own = self.exchange.assignments.own();
+        let waiting = self.waiting_steps(now).take(MAX_CLAIMING_STEPS);
+        let resting: Vec<Claim> = waiting
+            .filter_map(|(_, waited, step)| self.claim(step, waited, now))
+            .collect();
         let idle = self.fleet.iter().filter_map(|(key, worker)| {
             let home = worker.home.filter(|home| *home != own)?;
-            self.is_idle(worker, now).then_some((home, key))
+            let is_unused = !resting.iter().any(|claim| self.could_use(claim, worker));
+            (is_unused && self.is_idle(worker, now)).then_some((home, key))
         });
         let idle: Vec<(ShardId, WorkerKey)> = idle.take(MAX_RETURNED).collect();
         for (home, key) in idle {
@@ -509,7 +546,7 @@
         tracing::info!(
             to = to.0,
             workers = keys.len(),
-            "assigning idle workers to another shard"
+            "assigning workers to another shard"
         );
         for key in keys {
             if let Some(worker) = self.fleet.get_mut(*key) {
--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -188,6 +188,7 @@
         };
         worker.process_confirmed = true;
         worker.first_listed_end = response.ended.first().map(|ended| ended.sequence);
+        worker.list_complete = run_list(response, sent_at).is_complete;
         worker.update_clock(response.clock_ms, now);
         // The response names its process, which confirms the process unless an indication of
         // another one is newer than the poll.
--- a/src/workflow/engine/workers.rs
+++ b/src/workflow/engine/workers.rs
@@ -192,7 +192,9 @@
             let expired = now > worker.lease_expires_at;
             let idle = worker.runs.is_empty() && worker.unknown_runs == 0;
             let outdated = now.since(worker.last_poll) > UNLISTED_RETENTION;
-            if !worker.listed && idle && expired && outdated && self.recovery.is_none() {
+            // An assignment that is being recorded still concerns this worker.
+            let stays = worker.departure.is_none();
+            if !worker.listed && idle && expired && outdated && stays && self.recovery.is_none() {
                 self.mark_stored_part(key);
                 self.fleet.remove(key);
             }
--- a/src/workflow/exchange.rs
+++ b/src/workflow/exchange.rs
@@ -22,14 +22,16 @@
     pub workers: u32,
     /// Which, by name; any if this is empty.
     pub names: Vec<WorkerName>,
-    /// How long the step has waited that wants them, in milliseconds.
+    /// The priority of the step that wants them; 0 is the most urgent.
+    pub priority: u8,
+    /// How long it has waited, in milliseconds.
     pub waited_ms: u64,
 }
 
 /// A message from the owner of one shard to that of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ExchangeMessage {
-    /// The sender has steps that wait for these workers, the longest wait first.
+    /// The sender has steps that wait for these workers, the most urgent first, then the longest wait.
     Wanted(Vec<WantedWorkers>),
     /// The sender has recorded that the receiver holds these workers.
     Assigned(Vec<(WorkerName, Assignment)>),
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -124,6 +124,8 @@
     pub(super) committed_sequence: u64,
     /// The first ended run in the last poll response.
     pub(super) first_listed_end: Option<u64>,
+    /// Whether the last poll response listed all ended runs.
+    pub(super) list_complete: bool,
     /// Whether a poll response has named the worker process in `listing`. Until then, its start time is
     /// only what the platform's list says.
     pub(super) process_confirmed: bool,
@@ -177,6 +179,7 @@
             processed_sequence: 0,
             committed_sequence: 0,
             first_listed_end: None,
+            list_complete: false,
             process_confirmed: false,
             process_unconfirmed_since: None,
             poll_in_flight: false,
--- a/src/workflow/fleet/vacancy.rs
+++ b/src/workflow/fleet/vacancy.rs
@@ -2,6 +2,7 @@
 
 use super::{Worker, as_millis};
 use crate::model::Time;
+use crate::workflow::tenure::with_clock_margin;
 
 /// The proof that no run of this shard is on a worker, and that none will begin there.
 ///
@@ -42,11 +43,13 @@
             && self.process_confirmed
             && self.process_unconfirmed_since.is_none()
             && !self.is_unresponsive()
+            && self.list_complete
             && self.processed_sequence == self.committed_sequence;
         let lease_ends_at = self.lease_ends(max_lease_ms).any_process;
+        let lease_left = with_clock_margin(lease_ends_at.since(now));
         is_vacant.then(|| Vacant {
             fencing_token,
-            lease_left_ms: as_millis(lease_ends_at.since(now)),
+            lease_left_ms: as_millis(lease_left),
         })
     }
 }
--- a/tests/workflow/main.rs
+++ b/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod crash_world;
 mod crashes;
 mod ended;
+mod exchange_directed;
 mod exchange_faults;
 mod exploration;
 mod gangs;
--- a/tests/workflow/region.rs
+++ b/tests/workflow/region.rs
@@ -59,6 +59,7 @@
     pub fn with_shards_for(planned: u32, workers: u32, eligible_percent: u64) -> Self {
         let mut fleet: Vec<FakeWorker> = (0..workers).map(fake_worker).collect();
         for worker in &mut fleet {
+            worker.link.polls_wait = true;
             worker.listing.capacity = Resources {
                 cpu_milli: 16_000,
                 memory_mib: 65_536,
