Reserve capacity for a gang only if it is expected to start soon

What a gang has collected shrinks and grows on a busy shard, so that waiting for growth dropped reservations that were about to serve. Instead a gang reserves if its eligible workers hold it once the runs have ended that are expected to end within 10 s; a run that has taken three times its estimate may take any time.

--- a/src/workflow/active.rs
+++ b/src/workflow/active.rs
@@ -53,15 +53,6 @@
     pub(super) not_before: Time,
 }
 
-/// The capacity that a waiting gang has collected.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Collecting {
-    /// The largest number of its tasks that fitted at the same time.
-    pub(super) fitting: u32,
-    /// When that number last grew.
-    pub(super) grown_at: Time,
-}
-
 /// The state of a step in one occurrence.
 #[derive(Clone, Debug)]
 pub(super) struct StepState {
@@ -74,10 +65,6 @@
     pub(super) permits: StepPermits,
     /// Since when the step waits for room; `None` if all its tasks have been placed.
     pub(super) waits_since: Option<Time>,
-    /// How a gang that waits collects capacity, while it reserves any.
-    pub(super) collecting: Option<Collecting>,
-    /// A gang reserves no capacity before this time.
-    pub(super) reserves_from: Time,
     /// When a log line last told why the step waits, at first when the step began.
     pub(super) wait_logged_at: Time,
 }
@@ -115,8 +102,6 @@
             last_run,
             permits: StepPermits::default(),
             waits_since: None,
-            collecting: None,
-            reserves_from: now,
             wait_logged_at: now,
         }
     }
--- a/src/workflow/engine/reservation.rs
+++ b/src/workflow/engine/reservation.rs
@@ -4,16 +4,15 @@
 //! fleet, capacity becomes free one task at a time, and tasks of other steps take it before it is
 //! enough for a gang. A gang that cannot start therefore reserves free capacity on eligible workers
 //! against the steps that come later in the placement order. A reservation lasts for one placement
-//! round, and the next round makes it again, so that none outlives its gang. A gang that collects no
-//! more capacity for a while leaves what it has to others for as long.
+//! round, and the next round makes it again, so that none outlives its gang. A gang whose eligible
+//! workers are in use for longer reserves none.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::Engine;
 use crate::model::{Resources, Time};
-use crate::workflow::active::Collecting;
-use crate::workflow::fleet::WorkerKey;
+use crate::workflow::fleet::{WorkerKey, fitting_count};
 use crate::workflow::spec::{StepId, StepSpec};
 
 /// The part of the shard's processors, in percent, that is reserved before a further gang reserves
@@ -21,10 +20,8 @@
 /// unused for longer than one after the other.
 const MAX_RESERVED_PERCENT: u64 = 15;
 
-/// How long a gang reserves capacity without collecting more of it, at least and at most. In between, it
-/// is the estimated run time of its tasks: a gang delays others by no more than it would run itself.
-const MIN_PATIENCE: Duration = Duration::from_secs(1);
-const MAX_PATIENCE: Duration = Duration::from_secs(10);
+/// A gang reserves capacity if it is expected to start within this time.
+const RESERVATION_HORIZON: Duration = Duration::from_secs(10);
 
 /// A worker that is eligible for a gang.
 #[derive(Clone, Copy, Debug)]
@@ -32,8 +29,8 @@
     key: WorkerKey,
     /// The number of the gang's tasks that fit now.
     fitting: u32,
-    /// The number that would fit if the worker were empty.
-    fitting_when_empty: u32,
+    /// The number that would fit once the runs have ended that are expected to end soon.
+    fitting_soon: u32,
     free: Resources,
 }
 
@@ -45,20 +42,15 @@
         }
     }
 
-    /// Reserves capacity for a gang that cannot start yet, unless its eligible workers would not hold
-    /// it even if they were empty.
+    /// Reserves capacity for a gang that cannot start yet, if its eligible workers are expected to hold
+    /// it soon. Otherwise it would keep capacity unused that others could use meanwhile.
     pub(super) fn reserve_for_gang(&mut self, id: StepId, spec: &StepSpec, now: Time) {
         if self.reserved_percent() >= MAX_RESERVED_PERCENT {
             return;
         }
         let workers = self.eligible_workers(id, spec, now);
-        let when_empty = workers.iter().map(|worker| worker.fitting_when_empty);
-        if when_empty.fold(0, u32::saturating_add) < spec.tasks {
-            return;
-        }
-        let fitting = workers.iter().map(|worker| worker.fitting);
-        let fitting = fitting.fold(0, u32::saturating_add).min(spec.tasks);
-        if !self.collects(id, spec, fitting, now) {
+        let soon = workers.iter().map(|worker| worker.fitting_soon);
+        if soon.fold(0, u32::saturating_add) < spec.tasks {
             return;
         }
         for (key, reserved) in reservations(workers, &spec.reserved(), spec.tasks) {
@@ -68,35 +60,6 @@
         }
     }
 
-    /// Whether a gang of which `fitting` tasks fit now may reserve capacity. Once that number no longer
-    /// grows, as its other workers stay busy, it leaves the capacity to others for a while.
-    fn collects(&mut self, id: StepId, spec: &StepSpec, fitting: u32, now: Time) -> bool {
-        let Some(state) = self.step_mut(id) else {
-            return false;
-        };
-        if now < state.reserves_from {
-            return false;
-        }
-        let patience = Duration::from_millis(u64::from(spec.estimate_ms));
-        let patience = patience.clamp(MIN_PATIENCE, MAX_PATIENCE);
-        let collecting = state.collecting.get_or_insert(Collecting {
-            fitting,
-            grown_at: now,
-        });
-        if fitting > collecting.fitting {
-            *collecting = Collecting {
-                fitting,
-                grown_at: now,
-            };
-        }
-        if now.since(collecting.grown_at) <= patience {
-            return true;
-        }
-        state.collecting = None;
-        state.reserves_from = now + patience;
-        false
-    }
-
     /// The part of the processors of all workers that gangs reserve, in percent.
     fn reserved_percent(&self) -> u64 {
         let (mut total, mut reserved) = (0, 0);
@@ -125,12 +88,16 @@
             let is_eligible = worker.is_usable(now)
                 && (!needs_permit || has_eligibility())
                 && self.matches_step(worker, id, spec);
-            let fitting_when_empty = worker.fitting_tasks_when_empty(&spec.reserved(), max);
-            if is_eligible && fitting_when_empty > 0 {
+            if !is_eligible {
+                continue;
+            }
+            let capacity = worker.capacity_within(RESERVATION_HORIZON, now);
+            let fitting_soon = fitting_count(&spec.reserved(), &capacity).min(max);
+            if fitting_soon > 0 {
                 workers.push(EligibleWorker {
                     key,
                     fitting: self.fitting_tasks(worker, spec, active.policy.priority, max),
-                    fitting_when_empty,
+                    fitting_soon,
                     free: worker.free_capacity(),
                 });
             }
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -48,6 +48,9 @@
 /// the granularity of both clocks.
 const CLOCK_TOLERANCE_MS: u64 = 1_000;
 
+/// How long a run is expected to take whose estimate is not known.
+const UNKNOWN_ESTIMATE: Duration = Duration::from_secs(5);
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ClockReading {
@@ -265,6 +268,30 @@
         unused.minus(&self.reserved_for_gangs)
     }
 
+    /// The capacity without what runs use that are not expected to end within `horizon`.
+    pub(super) fn capacity_within(&self, horizon: Duration, now: Time) -> Resources {
+        let lasting = self.runs.values();
+        let lasting = lasting.filter(|run| !self.is_expected_to_end(run, now + horizon, now));
+        let lasting = lasting.fold(Resources::default(), |sum, run| sum.plus(&run.reserved));
+        self.listing.capacity.minus(&lasting)
+    }
+
+    /// Whether the run is expected to end until `at`. Estimates are off by up to a factor of two; a run
+    /// that has taken longer may take any time.
+    fn is_expected_to_end(&self, run: &ReservedRun, at: Time, now: Time) -> bool {
+        const MAX_ESTIMATE_FACTOR: u32 = 3;
+        if matches!(run.state, RunState::Stopping { .. }) {
+            return true;
+        }
+        let estimate = match run.estimate_ms {
+            0 => UNKNOWN_ESTIMATE,
+            estimate_ms => Duration::from_millis(u64::from(estimate_ms)),
+        };
+        let estimate = estimate.div_f64(self.speed);
+        let is_overdue = now.since(run.started_at) > estimate * MAX_ESTIMATE_FACTOR;
+        !is_overdue && run.started_at + estimate <= at
+    }
+
     /// Whether the runs need more than the capacity, which may have shrunk.
     pub(super) fn is_over_capacity(&self) -> bool {
         !self.reserved.fits_in(&self.listing.capacity)
