Look for eligible workers only in shards that may have some to spare

A gang that its shard would hold now looks only in shards that have not asked for workers themselves within 1.5 s, and a queued request goes before more urgent ones after 3 s instead of 1 s.

--- a/src/coordinator/permit_queue.rs
+++ b/src/coordinator/permit_queue.rs
@@ -20,7 +20,7 @@
 
 /// A request that has been queued for longer is sent before more urgent ones, so that many of these do
 /// not hold it up for ever.
-const MAX_QUEUED: Duration = Duration::from_secs(1);
+const MAX_QUEUED: Duration = Duration::from_secs(3);
 
 /// How long a VM gets no requests after a failed one.
 const FAILED_VM_BACKOFF: Duration = Duration::from_secs(2);
--- a/src/workflow/engine/exchange.rs
+++ b/src/workflow/engine/exchange.rs
@@ -34,6 +34,9 @@
 /// more, in percent of what it needs.
 const KNOWN_CAPACITY_PERCENT: u32 = 150;
 
+/// How long a shard that has asked for workers counts as one that has none to spare.
+const IN_NEED_FOR: Duration = Duration::from_millis(1_500);
+
 /// The maximum number of workers that a round asks for by name.
 const MAX_NAMES: usize = 100;
 
@@ -112,6 +115,8 @@
     arriving: BTreeMap<WorkerName, ShardId>,
     /// The workers that are to leave and are not vacant yet.
     departing: Vec<WorkerKey>,
+    /// When the other shards last asked for workers.
+    asked_by: HashMap<ShardId, Time>,
     next_round: Time,
     /// When a step last had a claim.
     last_claim: Time,
@@ -195,6 +200,7 @@
     pub fn handle_exchange(&mut self, from: ShardId, message: ExchangeMessage, now: Time) {
         match message {
             ExchangeMessage::Wanted(wanted) => {
+                self.exchange.asked_by.insert(from, now);
                 if self.recovery.is_none() && self.tenure.permits(now) {
                     let claims = self.claims(now);
                     for wanted in wanted {
@@ -335,7 +341,8 @@
         let own = own
             .map(|(_, worker)| worker.fitting_tasks_when_empty(&spec.reserved(), max_per_worker));
         let own = own.fold(0, u32::saturating_add);
-        let wanted = if own < spec.tasks {
+        let is_too_wide = own < spec.tasks;
+        let wanted = if is_too_wide {
             spec.tasks.saturating_mul(KNOWN_CAPACITY_PERCENT) / 100
         } else if waited >= MIN_WAIT_IN_FULL_SHARD {
             own.saturating_add(spec.tasks)
@@ -349,8 +356,13 @@
         if eligible.fold(own, u32::saturating_add) >= wanted {
             return Vec::new();
         }
-        let unknown = self.elsewhere_for(id, spec).map(|listing| &listing.name);
-        let unknown = unknown.filter(|name| !eligibility.contains_key(*name));
+        // A shard that asks for workers itself has none to spare. A gang that its shard cannot hold waits
+        // for theirs, as it can start nowhere else.
+        let unknown = self.elsewhere_for(id, spec).filter(|listing| {
+            !eligibility.contains_key(&listing.name)
+                && (is_too_wide || !self.is_in_need(&listing.name, now))
+        });
+        let unknown = unknown.map(|listing| &listing.name);
         let mut unknown: Vec<WorkerName> = unknown.cloned().collect();
         unknown.sort_unstable();
         unknown.truncate(max);
@@ -411,6 +423,13 @@
         })
     }
 
+    /// Whether the home shard of a worker of another shard has asked for workers recently.
+    fn is_in_need(&self, name: &WorkerName, now: Time) -> bool {
+        let home = self.exchange.elsewhere.get(name).map(|(_, home)| home);
+        let asked = home.and_then(|home| self.exchange.asked_by.get(home));
+        asked.is_some_and(|at| now.since(*at) < IN_NEED_FOR)
+    }
+
     /// Asks the other shards for the workers that the claims need.
     fn ask_for_workers(&mut self, claims: &[Claim]) {
         let own = self.exchange.assignments.own();
