Reserve capacity for a gang unless it lacks that of runs without an end

Now only long-running runs, and those that have taken ten times their estimate, count as capacity that stays in use.

--- a/src/workflow/engine/polling.rs
+++ b/src/workflow/engine/polling.rs
@@ -333,6 +333,7 @@
             suspected_of: None,
             priority,
             estimate_ms: 0,
+            is_long_running: spec.long_running,
             started_at: now,
         };
         if let Some(worker) = self.fleet.get_mut(key) {
--- a/src/workflow/engine/requests.rs
+++ b/src/workflow/engine/requests.rs
@@ -66,6 +66,7 @@
                 suspected_of: None,
                 priority,
                 estimate_ms: spec.estimate_ms,
+                is_long_running: spec.long_running,
                 started_at: now,
             },
         );
--- a/src/workflow/engine/reservation.rs
+++ b/src/workflow/engine/reservation.rs
@@ -5,10 +5,9 @@
 //! enough for a gang. A gang that cannot start therefore reserves free capacity on eligible workers
 //! against the steps that come later in the placement order. A reservation lasts for one placement
 //! round, and the next round makes it again, so that none outlives its gang. A gang whose eligible
-//! workers are in use for longer reserves none.
+//! workers run tasks that are not expected to end reserves none if it lacks their capacity.
 
 use std::cmp::Reverse;
-use std::time::Duration;
 
 use super::Engine;
 use crate::model::{Resources, Time};
@@ -20,17 +19,14 @@
 /// unused for longer than one after the other.
 const MAX_RESERVED_PERCENT: u64 = 15;
 
-/// A gang reserves capacity if it is expected to start within this time.
-const RESERVATION_HORIZON: Duration = Duration::from_secs(10);
-
 /// A worker that is eligible for a gang.
 #[derive(Clone, Copy, Debug)]
 struct EligibleWorker {
     key: WorkerKey,
     /// The number of the gang's tasks that fit now.
     fitting: u32,
-    /// The number that would fit once the runs have ended that are expected to end soon.
-    fitting_soon: u32,
+    /// The number that would fit once the runs have ended that are expected to end.
+    fitting_later: u32,
     free: Resources,
 }
 
@@ -42,15 +38,16 @@
         }
     }
 
-    /// Reserves capacity for a gang that cannot start yet, if its eligible workers are expected to hold
-    /// it soon. Otherwise it would keep capacity unused that others could use meanwhile.
+    /// Reserves capacity for a gang that cannot start yet, if its eligible workers hold it once the runs
+    /// have ended that are expected to end. Otherwise it would keep capacity from others that it could
+    /// not use.
     pub(super) fn reserve_for_gang(&mut self, id: StepId, spec: &StepSpec, now: Time) {
         if self.reserved_percent() >= MAX_RESERVED_PERCENT {
             return;
         }
         let workers = self.eligible_workers(id, spec, now);
-        let soon = workers.iter().map(|worker| worker.fitting_soon);
-        if soon.fold(0, u32::saturating_add) < spec.tasks {
+        let later = workers.iter().map(|worker| worker.fitting_later);
+        if later.fold(0, u32::saturating_add) < spec.tasks {
             return;
         }
         for (key, reserved) in reservations(workers, &spec.reserved(), spec.tasks) {
@@ -91,13 +88,13 @@
             if !is_eligible {
                 continue;
             }
-            let capacity = worker.capacity_within(RESERVATION_HORIZON, now);
-            let fitting_soon = fitting_count(&spec.reserved(), &capacity).min(max);
-            if fitting_soon > 0 {
+            let capacity = worker.capacity_once_ended(now);
+            let fitting_later = fitting_count(&spec.reserved(), &capacity).min(max);
+            if fitting_later > 0 {
                 workers.push(EligibleWorker {
                     key,
                     fitting: self.fitting_tasks(worker, spec, active.policy.priority, max),
-                    fitting_soon,
+                    fitting_later,
                     free: worker.free_capacity(),
                 });
             }
--- a/src/workflow/fleet/mod.rs
+++ b/src/workflow/fleet/mod.rs
@@ -71,6 +71,8 @@
     /// The priority of its queue; 0 is the most urgent.
     pub(super) priority: u8,
     pub(super) estimate_ms: u32,
+    /// Whether the run has no end of its own.
+    pub(super) is_long_running: bool,
     pub(super) started_at: Time,
 }
 
@@ -268,18 +270,18 @@
         unused.minus(&self.reserved_for_gangs)
     }
 
-    /// The capacity without what runs use that are not expected to end within `horizon`.
-    pub(super) fn capacity_within(&self, horizon: Duration, now: Time) -> Resources {
+    /// The capacity without what runs use that are not expected to end.
+    pub(super) fn capacity_once_ended(&self, now: Time) -> Resources {
         let lasting = self.runs.values();
-        let lasting = lasting.filter(|run| !self.is_expected_to_end(run, now + horizon, now));
+        let lasting = lasting.filter(|run| !self.is_expected_to_end(run, now));
         let lasting = lasting.fold(Resources::default(), |sum, run| sum.plus(&run.reserved));
         self.listing.capacity.minus(&lasting)
     }
 
-    /// Whether the run is expected to end until `at`. Estimates are off by up to a factor of two; a run
-    /// that has taken longer may take any time.
-    fn is_expected_to_end(&self, run: &ReservedRun, at: Time, now: Time) -> bool {
-        const MAX_ESTIMATE_FACTOR: u32 = 3;
+    /// Whether the run is expected to end. One that has taken many times its estimate may take any time.
+    fn is_expected_to_end(&self, run: &ReservedRun, now: Time) -> bool {
+        /// Estimates are as low as a tenth of the run time.
+        const MAX_ESTIMATE_FACTOR: u32 = 10;
         if matches!(run.state, RunState::Stopping { .. }) {
             return true;
         }
@@ -288,8 +290,7 @@
             estimate_ms => Duration::from_millis(u64::from(estimate_ms)),
         };
         let estimate = estimate.div_f64(self.speed);
-        let is_overdue = now.since(run.started_at) > estimate * MAX_ESTIMATE_FACTOR;
-        !is_overdue && run.started_at + estimate <= at
+        !run.is_long_running && now.since(run.started_at) <= estimate * MAX_ESTIMATE_FACTOR
     }
 
     /// Whether the runs need more than the capacity, which may have shrunk.
--- a/tests/workflow/waiting.rs
+++ b/tests/workflow/waiting.rs
@@ -178,6 +178,25 @@
     assert_eq!(world.state(3), Some(WorkflowState::Complete));
 }
 
+#[test]
+fn a_gang_starts_beside_long_running_tasks_while_a_wider_one_lacks_their_workers() {
+    let mut world = world(30, false);
+    world.task_ms = Some(120_000);
+    let mut long = step(10, 14_000);
+    long.need.memory_mib = 60_000;
+    long.long_running = true;
+    long.estimate_ms = 8_000;
+    world.run_for(100);
+    world.submit(1, vec![long]);
+    world.run_for(1_000);
+    world.task_ms = Some(400);
+    world.submit(2, vec![gang(25)]);
+    world.run_for(1_000);
+    world.submit(3, vec![gang(10)]);
+    world.run_for(3_000);
+    assert_eq!(world.state(3), Some(WorkflowState::Complete));
+}
+
 #[test]
 fn a_step_starts_behind_many_that_fit_on_no_worker() {
     for waiting in [255, 256, 300] {
