--- /dev/null
+++ b/src/workflow/engine/exchange/mod.rs
@@ -0,0 +1,286 @@
+//! The exchange of workers with other shards.
+//!
+//! Steps that wait claim workers of other shards, the most urgent first, then the longest wait. An owner
+//! gives away idle workers, and those at home in the other shard, that none of its own earlier claims
+//! could use, keeps a part of its home workers, and returns what it no longer needs.
+
+mod claims;
+mod departures;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use self::claims::{Claim, MAX_CLAIMING_STEPS};
+use super::{Effect, Engine};
+use crate::model::{Time, WorkerName};
+use crate::port::executor::WorkerListing;
+use crate::workflow::active::StepState;
+use crate::workflow::assignment::{Assignment, Assignments, ShardId};
+use crate::workflow::exchange::{ExchangeMessage, WantedWorkers};
+use crate::workflow::fleet::{Worker, WorkerKey, as_millis};
+use crate::workflow::spec::StepId;
+
+pub(in crate::workflow) use self::departures::Departure;
+
+/// The interval between two rounds of requests for workers.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The capacity of the known eligible workers at which a gang that its shard cannot hold looks for no
+/// more, in percent of what it needs.
+const KNOWN_CAPACITY_PERCENT: u32 = 150;
+
+/// The maximum number of workers that a round asks for by name.
+const MAX_NAMES: usize = 100;
+
+/// The maximum number of workers in one request, for all shards together.
+const MAX_WANTED: u32 = 400;
+
+/// The part of its home workers, in percent, that a shard keeps, for work that arrives later.
+const KEPT_PERCENT: usize = 50;
+
+/// How long a shard has had no claims when it returns workers.
+const RETURN_AFTER: Duration = Duration::from_secs(2);
+
+/// How many workers a shard returns in a round.
+const MAX_RETURNED: usize = 16;
+
+/// The state of the exchange.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Exchange {
+    pub(super) assignments: Assignments,
+    /// The number of shards; 0 or 1 if there is no exchange.
+    shards: u16,
+    /// The listed workers that other shards hold, with their home.
+    elsewhere: HashMap<WorkerName, (WorkerListing, ShardId)>,
+    /// Recorded assignments to other shards that these have not confirmed.
+    unconfirmed: BTreeMap<WorkerName, Assignment>,
+    /// Assignments to this shard that are being recorded, with the shard that announced them.
+    arriving: BTreeMap<WorkerName, ShardId>,
+    /// The workers that are to leave and are not vacant yet.
+    departing: Vec<WorkerKey>,
+    /// When the other shards last asked for workers.
+    asked_by: HashMap<ShardId, Time>,
+    next_round: Time,
+    /// When a step last had a claim.
+    last_claim: Time,
+}
+
+impl Engine {
+    /// Makes the engine part of a fleet of `shards` shards. Must be called before workers are added.
+    pub fn join_shards(&mut self, own: ShardId, shards: u16) {
+        self.exchange.assignments = Assignments::new(own);
+        self.exchange.shards = shards;
+    }
+
+    /// Loads a recorded assignment. Must be called before workers are added.
+    pub fn load_assignment(&mut self, worker: WorkerName, assignment: Assignment) {
+        if assignment.holder != self.exchange.assignments.own() {
+            self.exchange.unconfirmed.insert(worker.clone(), assignment);
+        }
+        self.exchange.assignments.record(worker, assignment);
+    }
+
+    /// Adds or updates a worker from the platform's list, if this shard holds it.
+    pub fn list_worker(&mut self, listing: WorkerListing, home: ShardId, now: Time) {
+        let name = listing.name.clone();
+        if !self.exchange.assignments.holds(&name, home) {
+            self.exchange.elsewhere.insert(name, (listing, home));
+            return;
+        }
+        self.set_worker(listing, now);
+        let key = self.fleet.key(&name);
+        if let Some(worker) = key.and_then(|key| self.fleet.get_mut(key)) {
+            worker.home = Some(home);
+        }
+    }
+
+    /// Forgets a worker of another shard that is no longer listed.
+    pub(super) fn unlist_elsewhere(&mut self, name: &WorkerName) {
+        self.exchange.elsewhere.remove(name);
+    }
+
+    /// Forgets the workers of other shards that are no longer listed.
+    pub(super) fn retain_elsewhere(&mut self, is_listed: impl Fn(&WorkerName) -> bool) {
+        self.exchange.elsewhere.retain(|name, _| is_listed(name));
+    }
+
+    /// A worker that is new to this owner.
+    pub(super) fn new_worker(&self, listing: WorkerListing, listed: bool, now: Time) -> Worker {
+        let assignment = self.exchange.assignments.get(&listing.name).copied();
+        let mut worker = Worker::new(listing, listed, now);
+        if let Some(assignment) = assignment {
+            worker.fence_base = assignment.fence_base;
+            worker.inherit_leases(now, now + Duration::from_millis(assignment.lease_left_ms));
+        }
+        worker
+    }
+
+    /// Asks for workers, returns them and announces assignments, when that is due.
+    pub(super) fn exchange_workers(&mut self, now: Time) {
+        if self.exchange.shards < 2 {
+            return;
+        }
+        self.record_departures(now);
+        if now < self.exchange.next_round {
+            return;
+        }
+        self.exchange.next_round = now + ROUND_INTERVAL;
+        let unconfirmed = self.exchange.unconfirmed.clone();
+        self.announce(unconfirmed);
+        if self.recovery.is_some() || !self.tenure.permits(now) {
+            return;
+        }
+        let claims = self.claims(now);
+        if claims.is_empty() {
+            self.return_workers(now);
+        } else {
+            self.exchange.last_claim = now;
+            self.ask_for_workers(&claims);
+        }
+    }
+
+    /// Handles a message from the owner of the shard `from`.
+    pub fn handle_exchange(&mut self, from: ShardId, message: ExchangeMessage, now: Time) {
+        match message {
+            ExchangeMessage::Wanted(wanted) => {
+                self.exchange.asked_by.insert(from, now);
+                if self.recovery.is_none() && self.tenure.permits(now) {
+                    let claims = self.claims(now);
+                    for wanted in wanted {
+                        self.spare_workers(from, &wanted, &claims, now);
+                    }
+                }
+            }
+            ExchangeMessage::Assigned(assigned) => self.receive_workers(from, assigned),
+            ExchangeMessage::Recorded(recorded) => {
+                for (worker, generation) in recorded {
+                    let unconfirmed = self.exchange.unconfirmed.get(&worker);
+                    if unconfirmed.is_some_and(|assigned| assigned.generation <= generation) {
+                        self.exchange.unconfirmed.remove(&worker);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks the other shards for the workers that the claims need.
+    fn ask_for_workers(&mut self, claims: &[Claim]) {
+        let own = self.exchange.assignments.own();
+        let others = u32::from(self.exchange.shards - 1);
+        let mut names_left = MAX_NAMES;
+        let mut wanted: Vec<WantedWorkers> = Vec::new();
+        for claim in claims.iter().filter(|claim| claim.workers > 0) {
+            let names = claim.names.as_ref().map(|names| {
+                let wanted = claim.workers.saturating_mul(KNOWN_CAPACITY_PERCENT) / 100;
+                let names = names.iter().take(wanted as usize);
+                names.take(names_left).cloned().collect::<Vec<WorkerName>>()
+            });
+            if names.as_ref().is_some_and(Vec::is_empty) {
+                continue;
+            }
+            names_left -= names.as_ref().map_or(0, Vec::len);
+            wanted.push(WantedWorkers {
+                service: claim.service.clone(),
+                label: claim.spec.required_label.clone(),
+                capacity: claim.spec.reserved(),
+                workers: match names {
+                    Some(_) => claim.workers,
+                    None => claim.workers.div_ceil(others),
+                },
+                names: names.unwrap_or_default(),
+                priority: claim.priority,
+                waited_ms: as_millis(claim.waited),
+            });
+        }
+        if wanted.is_empty() {
+            return;
+        }
+        for to in (0..self.exchange.shards).map(ShardId) {
+            if to != own {
+                let message = ExchangeMessage::Wanted(wanted.clone());
+                self.effects.push(Effect::Exchange { to, message });
+            }
+        }
+    }
+
+    /// Gives workers to the shard `to`: idle ones, those that it names or up to half of them, and then
+    /// its home workers, which leave once their runs have ended.
+    fn spare_workers(&mut self, to: ShardId, wanted: &WantedWorkers, claims: &[Claim], now: Time) {
+        let waited = Duration::from_millis(wanted.waited_ms);
+        let earlier = claims.iter();
+        let earlier = earlier.filter(|claim| claim.precedes(wanted.priority, waited));
+        let earlier: Vec<&Claim> = earlier.collect();
+        let useful = self.fleet.iter().filter(|(_, worker)| {
+            let label = wanted.label.as_ref();
+            worker.is_usable(now)
+                && worker.listing.service == wanted.service
+                && label.is_none_or(|label| worker.listing.labels.contains(label))
+                && wanted.capacity.fits_in(&worker.listing.capacity)
+                && (wanted.names.is_empty() || wanted.names.contains(&worker.listing.name))
+                && !earlier.iter().any(|claim| self.could_use(claim, worker))
+        });
+        let useful: Vec<(WorkerKey, &Worker)> = useful.collect();
+        let idle = useful
+            .iter()
+            .filter(|(_, worker)| self.is_idle(worker, now));
+        let mut idle: Vec<&(WorkerKey, &Worker)> = idle.collect();
+        idle.sort_by_key(|(key, worker)| (worker.home != Some(to), *key));
+        let spared = if wanted.names.is_empty() {
+            idle.len().div_ceil(2)
+        } else {
+            idle.len()
+        };
+        let recalled = useful
+            .iter()
+            .filter(|(_, worker)| worker.home == Some(to) && !self.is_idle(worker, now));
+        let given = idle.iter().take(spared).copied().chain(recalled);
+        let given = given.take((wanted.workers as usize).min(self.removable_workers()));
+        let keys: Vec<WorkerKey> = given.map(|(key, _)| *key).collect();
+        self.begin_departures(&keys, to, now);
+    }
+
+    /// How many workers this shard may give away so that it keeps a part of its home workers.
+    fn removable_workers(&self) -> usize {
+        let own = self.exchange.assignments.own();
+        let home = self.fleet.iter().filter_map(|(_, worker)| worker.home);
+        let home = home.filter(|home| *home == own).count();
+        let away = self.exchange.elsewhere.values();
+        let away = away.filter(|(_, home)| *home == own).count();
+        let kept = (home + away) * KEPT_PERCENT / 100;
+        let staying = self.fleet.iter();
+        let staying = staying.filter(|(_, worker)| worker.departure.is_none());
+        staying.count().saturating_sub(kept)
+    }
+
+    /// Whether the worker could be assigned to another shard: nothing runs there, and it is not part
+    /// of the reserve for urgent tasks.
+    fn is_idle(&self, worker: &Worker, now: Time) -> bool {
+        worker.is_usable(now) && worker.runs.is_empty() && !worker.in_urgent_reserve
+    }
+
+    /// Returns idle workers to their home shards.
+    fn return_workers(&mut self, now: Time) {
+        if now.since(self.exchange.last_claim) < RETURN_AFTER {
+            return;
+        }
+        let own = self.exchange.assignments.own();
+        let waiting = self.waiting_steps(now).take(MAX_CLAIMING_STEPS);
+        let resting: Vec<Claim> = waiting
+            .filter_map(|(_, waited, step)| self.claim(step, waited, now))
+            .collect();
+        let idle = self.fleet.iter().filter_map(|(key, worker)| {
+            let home = worker.home.filter(|home| *home != own)?;
+            let is_unused = !resting.iter().any(|claim| self.could_use(claim, worker));
+            (is_unused && self.is_idle(worker, now)).then_some((home, key))
+        });
+        let idle: Vec<(ShardId, WorkerKey)> = idle.take(MAX_RETURNED).collect();
+        for (home, key) in idle {
+            self.begin_departures(&[key], home, now);
+        }
+    }
+
+    fn step(&self, id: StepId) -> Option<&StepState> {
+        let active = self.active.get(&id.workflow)?;
+        active.steps.get(&(id.occurrence, id.step))
+    }
+}
