--- /dev/null
+++ b/review/standin-2/scenarios.rs
@@ -0,0 +1,151 @@
+//! The cases of the review.
+
+use std::time::{Duration, Instant};
+
+use crate::cell::{Cell, config};
+use crate::fleet::Work;
+use crate::json::{Json, n, obj, s};
+
+pub enum Outcome {
+    Held(String),
+    Broken(String),
+    CannotRun(String),
+}
+
+fn sleep_ms(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+fn until(deadline: Instant, mut condition: impl FnMut() -> bool) -> bool {
+    while !condition() {
+        if Instant::now() > deadline {
+            return false;
+        }
+        sleep_ms(10);
+    }
+    true
+}
+
+fn submission(phase: Vec<(&str, Json)>) -> Json {
+    obj(vec![("Spec", s("work")), ("Phases", Json::Arr(vec![obj(phase)]))])
+}
+
+/// LOST: a submission that lasts is shown as `failed` after its worker has crashed three times.
+pub fn crashed_workers(trouble: bool, record: &str) -> Outcome {
+    const ID: &str = "5c0e7a21d94b36f8";
+    const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
+    /// How long after the start of the task its worker crashes.
+    const CRASH_AFTER_MS: u64 = 1_000;
+    /// How long a crashed worker is down.
+    const DOWN_MS: u64 = 4_500;
+    let cell = Cell::start(7, &["a", "b", "a", "b", "a", "b", "a", "b"], &config(None), record);
+    if !cell.wait_until_ready() {
+        return Outcome::CannotRun("the VMs are not ready".to_owned());
+    }
+    let work = Work { count: 1, work_ms: None, cpu: 1_000, ..Work::default() };
+    cell.fleet.lock().work.insert(format!("{ID}.0"), work);
+    let phase = vec![
+        ("Count", n(1)),
+        ("Cpu", n(1_000)),
+        ("MemMb", n(1_024)),
+        ("EstMs", n(1_000)),
+        ("LongRunning", Json::Bool(true)),
+    ];
+    if !cell.submit(ID, &submission(phase)) {
+        return Outcome::CannotRun("the submission is not accepted".to_owned());
+    }
+    let starts = || cell.fleet.lock().starts.iter().filter(|start| start.task == TASK).cloned().collect::<Vec<_>>();
+    if !until(Instant::now() + Duration::from_secs(5), || !starts().is_empty()) {
+        return Outcome::CannotRun("the task does not start".to_owned());
+    }
+    let mut crashes = 0;
+    while crashes < 3 {
+        let Some(last) = starts().pop() else { break };
+        if !trouble {
+            sleep_ms(3 * (CRASH_AFTER_MS + DOWN_MS));
+            break;
+        }
+        until(last.at + Duration::from_millis(CRASH_AFTER_MS), || false);
+        cell.fleet.crash(last.machine);
+        crashes += 1;
+        sleep_ms(DOWN_MS);
+        cell.fleet.expire_entry(&last.worker);
+        cell.fleet.restart(last.machine, false, last.kind, Duration::ZERO);
+        let settled = until(Instant::now() + Duration::from_secs(12), || {
+            let again = starts().len() > crashes;
+            if !again {
+                sleep_ms(200);
+            }
+            again || cell.state(ID).as_deref() == Some("failed")
+        });
+        if !settled {
+            break;
+        }
+    }
+    // Six seconds after its last run and three more, a task that lasts has to run again.
+    until(Instant::now() + Duration::from_secs(12), || cell.state(ID).as_deref() == Some("failed"));
+    let state = cell.state(ID);
+    let failed_ends = cell.fleet.lock().ends.iter().filter(|(_, _, how)| *how == "failed").count();
+    let running = cell.fleet.lock().machines.iter().any(|machine| machine.runs.contains_key(TASK));
+    let text = format!(
+        "state {state:?} after {crashes} crashes of workers, {failed_ends} ends `failed`, {} starts, running: {running}",
+        starts().len()
+    );
+    match state.as_deref() {
+        Some("failed" | "canceled") if failed_ends == 0 => Outcome::Broken(text),
+        Some(_) => Outcome::Held(text),
+        None => Outcome::CannotRun(text),
+    }
+}
+
+/// ROUTE: a task starts on a worker without the label that it requires.
+pub fn other_kind(trouble: bool, record: &str) -> Outcome {
+    /// How long the crashed worker is down.
+    const DOWN_MS: u64 = 1_000;
+    /// How long after its start the worker writes its first entry: half of the report interval.
+    const FIRST_BEAT_MS: u64 = 750;
+    let cell = Cell::start(7, &["a", "b", "a", "b", "b", "b", "b", "b"], &config(None), record);
+    if !cell.wait_until_ready() {
+        return Outcome::CannotRun("the VMs are not ready".to_owned());
+    }
+    let hand_in = |number: u64| {
+        let id = format!("{:016x}", 0x1000 + number);
+        let work = Work { count: 8, work_ms: Some(1_500), cpu: 2_000, ..Work::default() };
+        cell.fleet.lock().work.insert(format!("{id}.0"), work);
+        let phase = vec![
+            ("Count", n(8)),
+            ("Cpu", n(2_000)),
+            ("MemMb", n(1_024)),
+            ("EstMs", n(1_500)),
+            ("Requires", s("a")),
+        ];
+        cell.submit(&id, &submission(phase))
+    };
+    // Both workers of kind `a` are in use, and further work for that kind waits.
+    for number in 0..12 {
+        if !hand_in(number) {
+            return Outcome::CannotRun("a submission is not accepted".to_owned());
+        }
+    }
+    sleep_ms(1_000);
+    if trouble {
+        cell.fleet.crash(0);
+        sleep_ms(DOWN_MS);
+        cell.fleet.restart(0, true, "b", Duration::from_millis(FIRST_BEAT_MS));
+    } else {
+        sleep_ms(DOWN_MS);
+    }
+    sleep_ms(8_000);
+    let state = cell.fleet.lock();
+    let wrong: Vec<String> = state.starts.iter().filter(|start| start.kind != "a").map(|start| {
+        format!("{} run {} on {} of kind {}", start.task, start.run, start.worker, start.kind)
+    }).collect();
+    let text = format!("{} starts, without the label: {wrong:?}", state.starts.len());
+    if state.starts.is_empty() {
+        Outcome::CannotRun(text)
+    } else if wrong.is_empty() {
+        Outcome::Held(text)
+    } else {
+        Outcome::Broken(text)
+    }
+}
