--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -219,20 +219,27 @@
     }
 }
 
-/// A desired state with one queue.
-pub fn config(tenants: Option<Json>) -> Json {
-    let route = obj(vec![
-        ("Name", s("r-3hwrr6x")),
+/// The prefix of the urgent queue.
+pub const URGENT_PREFIX: &str = "/pule252/";
+
+fn route(name: &str, prefix: &str, priority: u64, slo_ms: u64) -> Json {
+    obj(vec![
+        ("Name", s(name)),
         ("Host", s(HOST)),
-        ("Prefix", s(PREFIX)),
+        ("Prefix", s(prefix)),
         ("Kind", s("mutating")),
         ("TimeoutMs", n(3_000)),
-        ("SloMs", n(1_000)),
-        ("Priority", n(1)),
+        ("SloMs", n(slo_ms)),
+        ("Priority", n(priority)),
         ("Service", s("svc")),
         ("Attempts", n(4)),
         ("SlackFactor", Json::Num(2.2)),
-    ]);
+    ])
+}
+
+/// A desired state with a queue of priority 1 and an urgent one.
+pub fn config(tenants: Option<Json>) -> Json {
+    let routes = vec![route("r-3hwrr6x", PREFIX, 1, 1_000), route("r-9n73hh2", URGENT_PREFIX, 0, 250)];
     let service = obj(vec![
         ("Name", s("svc")),
         ("HealthPath", s("/healthz")),
@@ -245,7 +252,7 @@
     let limits = obj(vec![("MaxHeaderBytes", n(16_384)), ("MaxBodyBytes", n(262_144))]);
     let mut members = vec![
         ("Version", n(7)),
-        ("Routes", Json::Arr(vec![route])),
+        ("Routes", Json::Arr(routes)),
         ("Services", Json::Arr(vec![service])),
         ("Limits", limits),
     ];
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -104,6 +104,18 @@
     pub run: u64,
 }
 
+/// Watches whether the tasks of a step that lasts run while there is room.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    pub step: String,
+    /// From when on they have to run.
+    pub from: Instant,
+    pub waits_since: Option<Instant>,
+    pub longest: Duration,
+    /// The number of tasks that ran, and how often two more would have fit, at the end of the longest wait.
+    pub seen: (usize, u64),
+}
+
 #[derive(Default)]
 pub struct State {
     pub machines: Vec<Machine>,
@@ -120,6 +132,8 @@
     /// When the cancelling of submissions was acknowledged.
     pub cancelled: HashMap<String, Instant>,
     pub findings: Vec<String>,
+    /// The longest time for which a task waited although the workers had room for it twice over.
+    pub watch: Option<Watch>,
     /// The share of orders that get no answer and are carried out 2 to 12 s later.
     pub late_share: f64,
     /// The share of orders whose answer is lost.
@@ -311,6 +325,7 @@
             }
             state.ends.push((task, run.run, how));
         }
+        state.watch(now);
         drop(state);
         if changed {
             self.changed.notify_all();
@@ -466,6 +481,29 @@
 }
 
 impl State {
+    fn watch(&mut self, now: Instant) {
+        let Some(mut watch) = self.watch.clone().filter(|watch| now >= watch.from) else { return };
+        let work = self.work.get(&work_key(&format!("{}.0", watch.step))).cloned().unwrap_or_default();
+        let runs = self.machines.iter().flat_map(|machine| machine.runs.values());
+        let running = runs.filter(|run| step_of(&run.task) == watch.step).count();
+        let cpu_of = |run: &Run| self.work.get(&work_key(&run.task)).map_or(0, |work| work.cpu);
+        let fitting = self.machines.iter().filter(|machine| machine.alive).map(|machine| {
+            let used: u64 = machine.runs.values().map(cpu_of).sum();
+            16_000_u64.saturating_sub(used) / work.cpu.max(1)
+        });
+        let fitting: u64 = fitting.sum();
+        if running < work.count && fitting >= 2 {
+            let since = *watch.waits_since.get_or_insert(now);
+            if now - since > watch.longest {
+                watch.longest = now - since;
+                watch.seen = (running, fitting);
+            }
+        } else {
+            watch.waits_since = None;
+        }
+        self.watch = Some(watch);
+    }
+
     /// Takes note of an end that `LastSeen` has reached.
     fn note(&mut self, end: &End) {
         let work = self.work.get(&work_key(&end.task)).cloned().unwrap_or_default();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -19,6 +19,7 @@
     match scenario {
         "crashed-workers" => scenarios::crashed_workers(trouble, record),
         "other-kind" => scenarios::other_kind(trouble, record),
+        "kept-room" => scenarios::kept_room(trouble, record),
         "soak" => soak::run(trouble, record),
         _ => scenarios::Outcome::CannotRun("unknown scenario".to_owned()),
     }
--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::cell::{Cell, config};
-use crate::fleet::Work;
+use crate::cell::{Cell, HOST, URGENT_PREFIX, config};
+use crate::http;
+use crate::random::Random;
+use crate::fleet::{Watch, Work};
 use crate::json::{Json, n, obj, s};
 
 pub enum Outcome {
@@ -149,3 +151,81 @@
         Outcome::Broken(text)
     }
 }
+
+/// LOST: tasks that last do not run although there is room for them twice over.
+pub fn kept_room(trouble: bool, record: &str) -> Outcome {
+    const ID: &str = "5c0e7a21d94b36f8";
+    /// The tasks that last, of three cores each; the workers have 128 cores.
+    const TASKS: u64 = 26;
+    /// The usual submissions of the urgent queue a second: two tasks of 1.4 cores and 0.8 s, a ninth of the cores.
+    const URGENT_PER_S: f64 = 6.4;
+    /// The traffic of a burst, as a multiple of the usual one.
+    const BURST: f64 = 2.6;
+    const SECONDS: u64 = 45;
+    let cell = Cell::start(7, &["a", "b", "a", "b", "a", "b", "a", "b"], &config(None), record);
+    if !cell.wait_until_ready() {
+        return Outcome::CannotRun("the VMs are not ready".to_owned());
+    }
+    let end = Instant::now() + Duration::from_secs(SECONDS);
+    let addresses: Vec<_> = cell.vms.iter().map(|vm| vm.callers).collect();
+    let per_s = if trouble { BURST * URGENT_PER_S } else { URGENT_PER_S };
+    let mut clients = Vec::new();
+    for client in 0..4u64 {
+        let (addresses, fleet, record) = (addresses.clone(), cell.fleet.clone(), cell.record.clone());
+        clients.push(std::thread::spawn(move || {
+            let mut random = Random::new(client + 1);
+            let mut number = 0;
+            while Instant::now() < end {
+                let interval = 4_000.0 / per_s;
+                // A submission takes about 30 ms.
+                sleep_ms(random.between((interval * 0.7) as u64, (interval * 1.3) as u64) - 30);
+                number += 1;
+                let id = format!("{:016x}", client << 32 | number);
+                let work = Work { count: 2, work_ms: Some(800), cpu: 1_400, ..Work::default() };
+                fleet.lock().work.insert(format!("{id}.0"), work);
+                let phase = vec![("Count", n(2)), ("Cpu", n(1_400)), ("MemMb", n(512)), ("EstMs", n(800))];
+                let (address, path) = (addresses[number as usize % addresses.len()], format!("{URGENT_PREFIX}{id}"));
+                let response = http::call(address, "POST", HOST, &path, &[], &submission(phase).to_string());
+                record.line(&format!("client: POST {path} -> {:?}", response.map(|(status, _)| status)));
+            }
+        }));
+    }
+    sleep_ms(5_000);
+    let work = Work { count: TASKS as usize, work_ms: None, cpu: 3_000, ..Work::default() };
+    cell.fleet.lock().work.insert(format!("{ID}.0"), work);
+    let phase = vec![
+        ("Count", n(TASKS)),
+        ("Cpu", n(3_000)),
+        ("MemMb", n(512)),
+        ("EstMs", n(1_000)),
+        ("LongRunning", Json::Bool(true)),
+    ];
+    if !cell.submit(ID, &submission(phase)) {
+        return Outcome::CannotRun("the submission is not accepted".to_owned());
+    }
+    cell.fleet.lock().watch = Some(Watch {
+        step: format!("{ID}.0.0"),
+        from: Instant::now() + Duration::from_secs(6),
+        waits_since: None,
+        longest: Duration::ZERO,
+        seen: (0, 0),
+    });
+    for client in clients {
+        let _ = client.join();
+    }
+    let state = cell.fleet.lock();
+    let Some(watch) = state.watch.clone() else {
+        return Outcome::CannotRun("nothing was watched".to_owned());
+    };
+    let runs = state.machines.iter().flat_map(|machine| machine.runs.keys());
+    let running = runs.filter(|task| task.starts_with(ID)).count();
+    let text = format!(
+        "{running} of {TASKS} tasks run at the end; the longest time with a task that did not run beside room for two \
+         or more: {:.1} s, then {} ran and {} more would have fit",
+        watch.longest.as_secs_f64(),
+        watch.seen.0,
+        watch.seen.1
+    );
+    // Three seconds, and the four before them.
+    if watch.longest >= Duration::from_secs(7) { Outcome::Broken(text) } else { Outcome::Held(text) }
+}
