--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -3,13 +3,15 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub struct Request {
     pub path: String,
     pub query: String,
     pub target: Option<String>,
     pub body: String,
+    /// When the connection was opened.
+    pub opened: Instant,
 }
 
 /// A status with a body; `None` closes the connection without a response.
@@ -50,6 +52,7 @@
 }
 
 fn serve_connection(stream: TcpStream, handler: &dyn Fn(Request) -> Response) -> Option<()> {
+    let opened = Instant::now();
     stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
@@ -64,6 +67,7 @@
             query: query.to_owned(),
             target: target.map(|(_, value)| value.clone()),
             body,
+            opened,
         };
         let Some((status, body)) = handler(request) else {
             let _ = writer.shutdown(std::net::Shutdown::Both);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -17,7 +17,7 @@
 
 fn run(scenario: &str, record: &str, trouble: bool) -> scenarios::Outcome {
     match scenario {
-        "crashed-workers" => scenarios::crashed_workers(trouble, record),
+        "dark-workers" => scenarios::dark_workers(trouble, record),
         "other-kind" => scenarios::other_kind(trouble, record),
         "kept-room" => scenarios::kept_room(trouble, record),
         "soak" => soak::run(trouble, record),
