--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -35,7 +35,7 @@
 /// LOST: a submission is shown as `failed` although no run of it has ever begun.
 pub fn dark_workers(trouble: bool, record: &str) -> Outcome {
     const ID: &str = "5c0e7a21d94b36f8";
-    const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
+    let name = format!("{ID}.0.0.0");
     /// How long a machine has no power.
     const DOWN_MS: u64 = 4_500;
     /// How long before a start of the task its worker loses power, about.
@@ -70,7 +70,7 @@
     let work = Work { count: 1, work_ms: Some(3_000), cpu: 1_000, ..Work::default() };
     cell.fleet.lock().work.insert(format!("{ID}.0"), work);
     let phase = vec![("Count", n(1)), ("Cpu", n(1_000)), ("MemMb", n(512)), ("EstMs", n(3_000))];
-    let swallowed = || cell.fleet.lock().swallowed.iter().filter(|(task, _)| task == TASK).count();
+    let swallowed = || cell.fleet.lock().swallowed.iter().filter(|(task, _)| *task == name).count();
     let mut outages = 0;
     for machine in 0..if trouble { 3 } else { 0 } {
         let id = cell.fleet.lock().machines[machine].id.clone();
@@ -104,8 +104,8 @@
     });
     let state = cell.state(ID);
     let fleet = cell.fleet.lock();
-    let begun = fleet.starts.iter().filter(|start| start.task == TASK).count();
-    let fair = fleet.swallowed.iter().filter(|(task, _)| task == TASK).filter(|(_, before)| *before).count();
+    let begun = fleet.starts.iter().filter(|start| start.task == name).count();
+    let fair = fleet.swallowed.iter().filter(|(task, _)| *task == name).filter(|(_, before)| *before).count();
     let text = format!("state {state:?}; {begun} runs have begun; {outages} machines were without power, {fair} got starts");
     match state.as_deref() {
         Some("failed" | "canceled") if begun == 0 => Outcome::Broken(text),
