--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -11,7 +11,7 @@
 use crate::record::Log;
 
 pub const HOST: &str = "queue.example";
-pub const PREFIX: &str = "/work/";
+pub const PREFIX: &str = "/queue/";
 const BUDGET: Duration = Duration::from_millis(3_000);
 
 /// The submissions of the sheet in one second: 1.84 + 6.8 + 48.2.
